--- /dev/null
+++ b/heronwinch/benchlink/__main__.py
@@ -0,0 +1,26 @@
+"""Reads batches from standard input and writes one reply for each to standard output, until the input ends."""
+
+import gc
+import sys
+
+from heronwinch.benchlink.codec import FrameError, read_frame
+from heronwinch.benchlink.host import Host
+from heronwinch.benchlink.settings import SettingsError
+
+
+def main() -> int:
+    source, sink = sys.stdin.buffer, sys.stdout.buffer
+    gc.freeze()  # what the imports made stays: collections need not walk it
+    host = Host()
+    try:
+        while (frame := read_frame(source)) is not None:
+            sink.write(host.answer(frame))
+            sink.flush()
+    except (FrameError, SettingsError) as fault:
+        print(f"heronwinch.benchlink: {fault}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/heronwinch/benchlink/settings.py
@@ -0,0 +1,119 @@
+"""The wire's settings (path=value lines) turned into the terms of an instance."""
+
+from heronwinch.interface import Account, Category, Effect, Group, Terms
+
+EFFECTS = {"retryable": Effect.RERUNNABLE, "dedup": Effect.TICKETED, "fragile": Effect.EXCLUSIVE}
+GROUPS = {"all": Group.ALL, "zone": Group.AREA, "cell": Group.POD}
+REQUIRED = object()
+
+
+class SettingsError(ValueError):
+    pass
+
+
+class _Pairs:
+    def __init__(self, text: str) -> None:
+        self.values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+    def get(self, key, read, default=REQUIRED):
+        if key not in self.values:
+            if default is REQUIRED:
+                raise SettingsError(f"settings: required key {key} is missing")
+            return default
+        try:
+            return read(self.values[key])
+        except (ValueError, KeyError, OverflowError):
+            raise SettingsError(f"settings: unusable value for {key}: {self.values[key]!r}") from None
+
+    def each(self, key, read, count, default):
+        """A list with one value a category; shorter or absent lists are filled with the default."""
+        values = self.get(key, lambda text: [read(part) for part in text.split(",")] if text else [], [])
+        return values + [default] * (count - len(values))
+
+
+def whole(text: str) -> int:
+    try:
+        return int(text)
+    except ValueError:
+        return round(float(text))
+
+
+def flag(text: str) -> bool:
+    return {"true": True, "false": False}[text]
+
+
+def words(text: str) -> list[str]:
+    return text.split(",") if text else []
+
+
+def load_fields(text: str) -> list[str]:
+    """The names of the values in a load report, in their order."""
+    pairs = _Pairs(text)
+    return pairs.get("load_info.fields", words, [])
+
+
+def read_terms(text: str) -> Terms:
+    pairs = _Pairs(text)
+    get = pairs.get
+    count = get("categories.count", whole)
+    kinds = pairs.each("family_info.class_kind", whole, count, -1)
+    priorities = pairs.each("family_info.class_priority", whole, count, 0)
+    stretches = pairs.each("family_info.class_stretch", float, count, 0.0)
+    categories = []
+    for i in range(count):
+        at = f"categories.{i}."
+        categories.append(Category(
+            effect=get(at + "effect", EFFECTS.__getitem__),
+            group=get(at + "group", GROUPS.__getitem__, Group.ALL),
+            window=get(at + "window_ns", whole, 0),
+            due_time=get(at + "due_time_ns", whole),
+            stretch=get(at + "aim_stretch", float, stretches[i]),
+            expiry=get(at + "expiry_ns", whole),
+            credit=get(at + "credit", float, 1.0),
+            late_credit=get(at + "late_credit", float, 0.0),
+            kind=kinds[i],
+            priority=priorities[i],
+        ))
+    accounts = tuple(
+        Account(share=get(f"realms.{i}.share", float, 0.0),
+                allowance=get(f"realms.{i}.allowance_per_s", float, 0.0))
+        for i in range(get("realms.count", whole, 0))
+    )
+    areas = get("areas", words, [])
+    return Terms(
+        me=get("me", whole),
+        dispatchers=max(1, get("siblings", whole)),
+        area=get("az", lambda name: areas.index(name) if name in areas else whole(name), 0),
+        tick=get("tick_ns", whole),
+        categories=tuple(categories),
+        accounts=accounts,
+        excess_credit=get("excess_credit", float, 1.0),
+        pushed_list=get("discovery", {"pushed": True, "on_request": False}.__getitem__),
+        ask_every=get("invariants.ask_every_ns", whole, 10_000_000_000),
+        drain_grace=get("invariants.drain_grace_ns", whole),
+        answer_slack=get("invariants.answer_slack_ns", whole, 0),
+        cold_share=get("invariants.start_capacity", float),
+        warm_up=get("invariants.warm_up_ns", whole),
+        push_multiple=get("invariants.overload_factor", float),
+        push_window=get("invariants.tip_after_ns", whole),
+        most_hand_offs=get("limits.most_hand_offs", whole),
+        parallel_tries=get("limits.parallel_tries", flag, False),
+        may_cancel=get("limits.may_cancel", flag, False),
+        may_probe=get("limits.probes", flag, False),
+        may_tell=get("limits.peers", flag, False),
+        come_back=get("limits.retry_after", flag, False),
+        longest_come_back=get("limits.max_retry_after_ns", whole, 0),
+        connect_timeout=get("limits.dial_timeout_ns", whole, 0),
+        connection_idle=get("limits.conn_idle_ns", whole, 0),
+        progress_every=get("family_info.progress_ns", whole, 0),
+        tells_start=get("family_info.tells_start", flag, False),
+        queue_order=get("family_info.queue_order", str, "fifo"),
+        reports=get("load_info.how", str, "none") != "none",
+        area_price=get("prices.cross_zone", float, 0.0),
+        waste_price=get("prices.waste", float, 0.0),
+        late_price=get("prices.late_fail", float, 0.0),
+        probe_price=get("prices.probe", float, 0.0),
+        connection_price=get("prices.handshake", float, 0.0),
+        message_price=get("prices.peer", float, 0.0),
+        listing_price=get("prices.discovery", float, 0.0),
+    )
--- /dev/null
+++ b/heronwinch/policy.py
@@ -0,0 +1,395 @@
+"""All decisions of a dispatcher; events in, actions out, no I/O.
+
+How to call it: make one Dispatcher(terms, seed) an instance; whenever something has happened call
+handle(now, events), with a clock in whole nanoseconds and the events in the order they came, and carry out
+the actions it returns, in their order. The interface (terms, events, actions) is heronwinch/interface.py;
+what is kept of the design and what departs from it is docs/design.md.
+"""
+
+from collections import deque
+from math import ceil, exp
+from random import Random
+
+from heronwinch.interface import (
+    NEVER_RAN,
+    SECOND,
+    Answered,
+    Arrived,
+    Defer,
+    Effect,
+    Group,
+    HandOff,
+    Left,
+    Listed,
+    ListKind,
+    Noted,
+    Outcome,
+    Probed,
+    Rang,
+    SetTimer,
+    Standing,
+    Subscribe,
+    WriteOff,
+)
+
+ASK_AGAIN = 0  # the timer token of the next call to discovery; a work item's timers count up from 1
+
+
+class Row:
+    """What the module reads of one category."""
+
+    __slots__ = ("effect", "group", "window", "kind", "run")
+
+    def __init__(self, category):
+        self.effect = category.effect
+        self.group = category.group
+        self.window = category.window
+        self.kind = category.kind
+        self.run = 0.0  # learned: mean running time, 0 while none was seen
+
+
+class Out:
+    """One hand-off."""
+
+    __slots__ = ("wi", "number", "worker", "sent", "answered")
+
+    def __init__(self, wi, number, worker, sent):
+        self.wi = wi
+        self.number = number
+        self.worker = worker
+        self.sent = sent
+        self.answered = False
+
+
+class WorkItem:
+    __slots__ = ("id", "row", "account", "slots", "memory", "came", "expiry", "course", "hos", "out", "anchor", "ended")
+
+    def __init__(self, event, row, now):
+        self.id = event.wi
+        self.row = row
+        self.account = event.account
+        self.slots = max(1.0, event.slots)
+        self.memory = event.memory
+        self.came = now
+        self.expiry = now + event.time_left
+        self.course = None
+        self.hos = []
+        self.out = 0
+        self.anchor = None  # the first hand-off that may have run
+        self.ended = False
+
+
+class Worker:
+    __slots__ = (
+        "id", "area", "kind", "pod", "standing", "started_at", "open", "epoch", "rounded", "out", "shut",
+        "fails", "free", "most_free", "pushed",
+    )
+
+    def __init__(self, entry, epoch):
+        self.id = entry.worker
+        self.out = 0
+        self.fails = 0  # in a row
+        self.most_free = 0.0  # free slots
+        self.pushed = deque()  # (when, work) sent while it was cold
+        self.pod = entry.pod
+        self.list(entry)
+        self.restart(epoch)
+
+    def list(self, entry):
+        self.area, self.kind, self.pod = entry.area, entry.kind, entry.pod
+        self.standing, self.started_at = entry.standing, entry.started_at
+
+    def restart(self, epoch):
+        """A new worker starts closed."""
+        self.open = False
+        self.epoch = epoch  # the next update epoch, while it is closed
+        self.rounded = 0  # when its virtual queue runs empty
+        self.shut = False  # a failure or a report of no free slots since the last epoch
+        self.free = None  # its last report
+
+
+class Dispatcher:
+    def __init__(self, terms, seed):
+        self.terms = terms
+        self.random = Random(seed)
+        self.rows = [Row(category) for category in terms.categories]
+        self.workers = {}  # every worker ever listed
+        self.usable = []  # those listed as ready
+        self.items = {}
+        self.timers = {}  # token -> work item
+        self.token = ASK_AGAIN
+        self.now = 0
+        self.actions = []
+        self.T = SECOND
+        self.run = 0.0  # mean running time, over all categories
+        self.gap = 0.0  # mean time between own hand-offs
+        self.last_sent = 0
+        self.subscribed = False
+        self.asking = False
+        self.refusals = 0  # failed calls to discovery in a row
+        self.reactions = {
+            Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
+            Rang: self._rang, Noted: self._noted, Probed: self._probed,
+        }
+
+    def handle(self, now, events):
+        """What to do about these events, in order."""
+        self.now = now
+        self.actions = []
+        for event in events:
+            reaction = self.reactions.get(type(event))
+            if reaction is not None:
+                reaction(event)
+        return self.actions
+
+    # ---- the course of one work item
+
+    def _course(self, wi):
+        """A work item from top to bottom; its value is the final answer, None where that has been given."""
+        while True:
+            worker = self._random_open(wi) or self._random_any(wi)
+            if worker is None:
+                return self._giving_up(wi)
+            answer = yield worker
+            if answer.ended:
+                return None
+            if not self._may_go_again(wi):
+                return self._giving_up(wi)
+
+    def _may_go_again(self, wi):
+        if len(wi.hos) >= self.terms.most_hand_offs or self.now >= wi.expiry:
+            return False
+        if wi.anchor is None or wi.row.effect == Effect.RERUNNABLE:
+            return True
+        return wi.row.effect == Effect.TICKETED and self.now < wi.anchor.sent + wi.row.window
+
+    def _giving_up(self, wi):
+        """Deferred where a retry is provably harmless, else written off."""
+        row = wi.row
+        harmless = wi.anchor is None or row.effect == Effect.RERUNNABLE or (
+            row.effect == Effect.TICKETED and row.group == Group.ALL and self.now < wi.anchor.sent + row.window)
+        if not harmless:
+            return WriteOff(wi.id)
+        return Defer(wi.id, min(self.T, self.terms.longest_come_back) if self.terms.come_back else 0)
+
+    def _advance(self, wi, answer=None):
+        try:
+            worker = wi.course.send(answer)
+        except StopIteration as end:
+            self._end(wi, end.value)
+        else:
+            self._hand_off(wi, worker)
+
+    def _end(self, wi, answer):
+        wi.ended = True
+        wi.course = None
+        if answer is not None:
+            self.actions.append(answer)
+        if not wi.out:
+            self.items.pop(wi.id, None)
+
+    def _hand_off(self, wi, worker):
+        now = self.now
+        ho = Out(wi, len(wi.hos), worker, now)
+        wi.hos.append(ho)
+        wi.out += 1
+        self._settle(worker)
+        worker.out += 1
+        if worker.open:
+            worker.open = False
+            worker.epoch = now + self.T
+        if self._is_cold(worker):
+            worker.pushed.append((now, self._work(wi)))
+        if self.last_sent:
+            gap = now - self.last_sent
+            self.gap += (gap - self.gap) / 32 if self.gap else gap
+            self._learn_T()
+        self.last_sent = now
+        self.actions.append(HandOff(wi.id, worker.id, 0))
+
+    # ---- events
+
+    def _arrived(self, event):
+        wi = WorkItem(event, self.rows[event.category], self.now)
+        self.items[wi.id] = wi
+        wi.course = self._course(wi)
+        self._advance(wi)
+
+    def _answered(self, event):
+        wi = self.items.get(event.wi)
+        if wi is None or event.ho >= len(wi.hos):
+            return
+        ho = wi.hos[event.ho]
+        if ho.answered:
+            return
+        ho.answered = True
+        wi.out -= 1
+        if event.outcome not in NEVER_RAN:
+            if event.outcome != Outcome.OK and (wi.anchor is None or ho.sent < wi.anchor.sent):
+                wi.anchor = ho
+        self._learn(ho, event)
+        if wi.ended or event.ended:
+            self._end(wi, None)
+        else:
+            self._advance(wi, event)
+
+    def _left(self, event):
+        wi = self.items.get(event.wi)
+        if wi is not None:
+            self._end(wi, None)
+
+    def _rang(self, event):
+        if event.token == ASK_AGAIN:
+            self.asking = False
+            self._subscribe()
+
+    def _noted(self, event):
+        pass
+
+    def _probed(self, event):
+        pass
+
+    def _listed(self, event):
+        if event.kind == ListKind.FAILED:
+            self._ask_again()
+            return
+        if event.kind != ListKind.CACHED:
+            self.refusals = 0
+            self.subscribed = True
+        named = set()
+        for entry in event.entries:
+            named.add(entry.worker)
+            worker = self.workers.get(entry.worker)
+            if worker is None:
+                self.workers[entry.worker] = Worker(entry, self.now + int(self.T * self.random.random()))
+            else:
+                if entry.started_at != worker.started_at:
+                    worker.restart(self.now + int(self.T * self.random.random()))
+                worker.list(entry)
+        if event.kind != ListKind.DELTA:
+            for worker in self.workers.values():
+                if worker.id not in named:
+                    worker.standing = Standing.GONE
+        self.usable = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
+        if event.kind == ListKind.CACHED and not self.terms.pushed_list:
+            self._subscribe()
+
+    def _subscribe(self):
+        if not self.asking:
+            self.asking = True
+            self.actions.append(Subscribe(True))
+
+    def _ask_again(self):
+        """Discovery failed: ask again after a randomised pause that grows, so that instances spread out."""
+        self.subscribed = False
+        self.refusals += 1
+        longest = self.terms.ask_every / 4
+        pause = min(longest, self.terms.connect_timeout * 2 ** min(self.refusals, 16))
+        self.actions.append(SetTimer(int(pause * (0.5 + self.random.random())), ASK_AGAIN))
+
+    # ---- openness
+
+    def _settle(self, worker):
+        """Let the epochs that have passed decide whether the worker is open."""
+        while not worker.open and worker.epoch <= self.now:
+            if worker.shut or worker.out or worker.rounded > worker.epoch:
+                worker.shut = False
+                worker.epoch += self.T
+            else:
+                worker.open = True
+
+    def _random_open(self, wi):
+        choices = []
+        for worker in self.usable:
+            self._settle(worker)
+            if worker.open and self._reports_room(worker, wi) and self._allowed(worker, wi):
+                choices.append(worker)
+        return self.random.choice(choices) if choices else None
+
+    def _reports_room(self, worker, wi):
+        free = worker.free
+        return free is None or (free >= wi.slots and free >= worker.most_free / 4)
+
+    def _random_any(self, wi):
+        """With none open: a random worker, passing over those well over the mean in own hand-offs out."""
+        choices = [worker for worker in self.usable if self._allowed(worker, wi)]
+        if not choices:
+            return None
+        most = 2 * sum(worker.out for worker in choices) / len(choices) + 1
+        return self.random.choice([worker for worker in choices if worker.out <= most])
+
+    def _allowed(self, worker, wi):
+        """Kinds, the group of a ticketed work item that may have run, and what a cold worker can take."""
+        row = wi.row
+        if row.kind not in (-1, worker.kind):
+            return False
+        anchor = wi.anchor
+        if anchor is not None and row.effect == Effect.TICKETED:
+            if row.group == Group.AREA and worker.area != anchor.worker.area:
+                return False
+            if row.group == Group.POD and worker.pod != anchor.worker.pod:
+                return False
+        return not self._is_cold(worker) or self._cold_may_take(worker, wi)
+
+    # ---- cold workers
+
+    def _is_cold(self, worker):
+        return worker.started_at > 0 and self.now - worker.started_at < self.terms.warm_up
+
+    def _cold_may_take(self, worker, wi):
+        """This dispatcher's part of what a cold worker stands, assuming the slowest warming allowed."""
+        terms = self.terms
+        age = max(0, self.now - worker.started_at) / terms.warm_up
+        part = terms.cold_share + (1 - terms.cold_share) * age
+        if self.random.random() > part:
+            return False  # passed over by chance, less often as it warms
+        pushed = worker.pushed
+        while pushed and pushed[0][0] <= self.now - terms.push_window:
+            pushed.popleft()
+        budget = terms.push_multiple * part * self._least_slots(worker) * terms.push_window / terms.dispatchers
+        return sum(work for _, work in pushed) + self._work(wi) <= budget
+
+    def _least_slots(self, worker):
+        """The slots it is sure to have: the most it has shown, else the fewest that another shows at best."""
+        return worker.most_free or min((w.most_free for w in self.usable if w.most_free), default=1.0)
+
+    def _work(self, wi):
+        return (wi.row.run or self.run or self.T) * wi.slots
+
+    # ---- learning
+
+    def _learn(self, ho, event):
+        worker, wi = ho.worker, ho.wi
+        self._settle(worker)
+        worker.out -= 1
+        if event.report is not None and event.report.free_slots is not None:
+            worker.free = event.report.free_slots
+            worker.most_free = max(worker.most_free, round(worker.free))
+        if event.outcome == Outcome.OK:
+            worker.fails = 0
+            x = event.elapsed
+            row = wi.row
+            row.run += (x - row.run) / 16 if row.run else x
+            self.run += (x - self.run) / 16 if self.run else x
+            worker.rounded = max(worker.rounded, ho.sent + self.T * ceil(x / self.T))
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
+            worker.fails += 1
+            worker.shut = True
+        if worker.free is not None and worker.free < 1:
+            worker.shut = True
+
+    def _learn_T(self):
+        """T keeps own load x T/(1-e^-T) under 1, in mean running times, and is two of them when quiet."""
+        if not self.run or not self.gap or not self.usable:
+            return
+        load = self.run / self.gap / len(self.usable)
+        low, high = 0.0, 2.0
+        if load * high / (1 - exp(-high)) >= 1:
+            for _ in range(12):
+                T = (low + high) / 2
+                low, high = (T, high) if load * T / (1 - exp(-T)) < 1 else (low, T)
+        else:
+            low = high
+        self.T = max(self.terms.tick, int(low * self.run))
+
+
