--- a/heronwinch/benchlink/__main__.py
+++ b/heronwinch/benchlink/__main__.py
@@ -1,4 +1,4 @@
-"""Reads batches from standard input and writes one reply for each to standard output, until the input ends."""
+"""Reads batches on standard input, writes a reply to each on standard output, until the input ends."""
 
 import gc
 import sys
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -1,7 +1,7 @@
 """What goes in and out of a dispatcher: terms at the start, then events in and actions out.
 
 Times are whole nanoseconds. Work items and workers are named by the numbers the caller uses; a hand-off is
-named by its work item and its place (0, 1, 2 ...) in the order the work item was handed off. No decisions here.
+named by its work item and its place (0, 1, 2 ...) in the order of handing off. No decisions here.
 """
 
 from enum import IntEnum
