Count each slot as one of the paper's servers

A many-slot worker looked closed after one own job. Each hand-off now closes the slots it asks, epochs counted from it as before; a report caps the open slots and a worker closed by an old report alone is asked again at epochs T apart. Kept: what stands in the way now is the random pick with none open, which fills waiting rooms.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -24,6 +24,7 @@
     ListKind,
     Noted,
     Outcome,
+    Probe,
     Probed,
     Rang,
     SetTimer,
@@ -51,7 +52,7 @@
 class Out:
     """One hand-off."""
 
-    __slots__ = ("wi", "number", "worker", "sent", "answered")
+    __slots__ = ("wi", "number", "worker", "sent", "answered", "epoch")
 
     def __init__(self, wi, number, worker, sent):
         self.wi = wi
@@ -59,10 +60,13 @@
         self.worker = worker
         self.sent = sent
         self.answered = False
+        self.epoch = 0  # once answered: the update epoch at which its slots open again
 
 
 class WorkItem:
-    __slots__ = ("id", "row", "account", "slots", "memory", "came", "expiry", "course", "hos", "out", "anchor", "ended")
+    __slots__ = (
+        "id", "row", "account", "slots", "memory", "came", "expiry", "course", "hos", "out", "anchor", "ended",
+    )
 
     def __init__(self, event, row, now):
         self.id = event.wi
@@ -81,17 +85,17 @@
 
 class Worker:
     __slots__ = (
-        "id", "area", "kind", "pod", "standing", "started_at", "open", "epoch", "rounded", "out", "shut",
-        "fails", "free", "most_free", "pushed",
+        "id", "area", "kind", "pod", "standing", "started_at", "slots", "closed", "out", "shut_until",
+        "fails", "free", "waiting", "heard", "probing", "pushed",
     )
 
     def __init__(self, entry, epoch):
         self.id = entry.worker
-        self.out = 0
+        self.slots = 0  # the most it has shown, 0 before its first report
+        self.out = 0  # own hand-offs
         self.fails = 0  # in a row
-        self.most_free = 0.0  # free slots
+        self.probing = False
         self.pushed = deque()  # (when, work) sent while it was cold
-        self.pod = entry.pod
         self.list(entry)
         self.restart(epoch)
 
@@ -100,12 +104,12 @@
         self.standing, self.started_at = entry.standing, entry.started_at
 
     def restart(self, epoch):
-        """A new worker starts closed."""
-        self.open = False
-        self.epoch = epoch  # the next update epoch, while it is closed
-        self.rounded = 0  # when its virtual queue runs empty
-        self.shut = False  # a failure or a report of no free slots since the last epoch
+        """A new worker starts closed, up to its first epoch."""
+        self.closed = []  # hand-offs that keep slots closed
+        self.shut_until = epoch
         self.free = None  # its last report
+        self.waiting = 0.0
+        self.heard = 0  # when that came
 
 
 class Dispatcher:
@@ -193,11 +197,8 @@
         ho = Out(wi, len(wi.hos), worker, now)
         wi.hos.append(ho)
         wi.out += 1
-        self._settle(worker)
         worker.out += 1
-        if worker.open:
-            worker.open = False
-            worker.epoch = now + self.T
+        worker.closed.append(ho)
         if self._is_cold(worker):
             worker.pushed.append((now, self._work(wi)))
         if self.last_sent:
@@ -247,7 +248,10 @@
         pass
 
     def _probed(self, event):
-        pass
+        worker = self.workers.get(event.worker)
+        if worker is not None:
+            worker.probing = False
+            self._hear(worker, event.report)
 
     def _listed(self, event):
         if event.kind == ListKind.FAILED:
@@ -289,26 +293,34 @@
 
     # ---- openness
 
-    def _settle(self, worker):
-        """Let the epochs that have passed decide whether the worker is open."""
-        while not worker.open and worker.epoch <= self.now:
-            if worker.shut or worker.out or worker.rounded > worker.epoch:
-                worker.shut = False
-                worker.epoch += self.T
-            else:
-                worker.open = True
-
     def _random_open(self, wi):
-        choices = []
+        """A random worker among those open, each slot counting as one of the paper's servers."""
+        choices, weights = [], []
         for worker in self.usable:
-            self._settle(worker)
-            if worker.open and self._reports_room(worker, wi) and self._allowed(worker, wi):
+            slots = self._open_slots(worker)
+            if slots >= wi.slots and self._allowed(worker, wi):
                 choices.append(worker)
-        return self.random.choice(choices) if choices else None
+                weights.append(slots)
+        return self.random.choices(choices, weights)[0] if choices else None
 
-    def _reports_room(self, worker, wi):
-        free = worker.free
-        return free is None or (free >= wi.slots and free >= worker.most_free / 4)
+    def _open_slots(self, worker):
+        """How many of a worker's slots are open: by own record at their epochs, and no more than it reports."""
+        now = self.now
+        worker.closed = closed = [ho for ho in worker.closed if not ho.answered or ho.epoch > now]
+        if worker.shut_until > now:
+            return 0
+        own = (worker.slots or 1) - sum(ho.wi.slots for ho in closed)
+        if worker.free is None or own <= 0:
+            return own
+        free = worker.free - sum(ho.wi.slots for ho in closed if ho.sent >= worker.heard)
+        if free >= max(1, worker.slots / 4) and worker.waiting < 1:
+            return min(own, free)
+        # A report that says 'busy' would hold for ever where this dispatcher alone sends no more: at epochs
+        # T apart the worker is asked again.
+        if now - worker.heard >= self.T and not worker.probing and self.terms.may_probe:
+            worker.probing = True
+            self.actions.append(Probe(worker.id))
+        return 0
 
     def _random_any(self, wi):
         """With none open: a random worker, passing over those well over the mean in own hand-offs out."""
@@ -351,7 +363,7 @@
 
     def _least_slots(self, worker):
         """The slots it is sure to have: the most it has shown, else the fewest that another shows at best."""
-        return worker.most_free or min((w.most_free for w in self.usable if w.most_free), default=1.0)
+        return worker.slots or min((w.slots for w in self.usable if w.slots), default=1)
 
     def _work(self, wi):
         return (wi.row.run or self.run or self.T) * wi.slots
@@ -360,29 +372,34 @@
 
     def _learn(self, ho, event):
         worker, wi = ho.worker, ho.wi
-        self._settle(worker)
         worker.out -= 1
-        if event.report is not None and event.report.free_slots is not None:
-            worker.free = event.report.free_slots
-            worker.most_free = max(worker.most_free, round(worker.free))
+        self._hear(worker, event.report)
+        x = event.elapsed
+        ho.epoch = ho.sent + self.T * ceil(x / self.T)
         if event.outcome == Outcome.OK:
             worker.fails = 0
-            x = event.elapsed
             row = wi.row
             row.run += (x - row.run) / 16 if row.run else x
             self.run += (x - self.run) / 16 if self.run else x
-            worker.rounded = max(worker.rounded, ho.sent + self.T * ceil(x / self.T))
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             worker.fails += 1
-            worker.shut = True
-        if worker.free is not None and worker.free < 1:
-            worker.shut = True
+            worker.shut_until = max(worker.shut_until, ho.epoch + self.T)
+
+    def _hear(self, worker, report):
+        if report is None or report.free_slots is None:
+            return
+        worker.free, worker.heard = report.free_slots, self.now
+        worker.waiting = report.waiting or 0.0
+        running = max(0.0, report.held - worker.waiting) if report.held is not None else 0.0
+        worker.slots = max(worker.slots, round(worker.free + running if worker.free >= 0.5 else worker.free))
+        if worker.free < 0.5:
+            worker.shut_until = max(worker.shut_until, self.now + self.T)
 
     def _learn_T(self):
         """T keeps own load x T/(1-e^-T) under 1, in mean running times, and is two of them when quiet."""
         if not self.run or not self.gap or not self.usable:
             return
-        load = self.run / self.gap / len(self.usable)
+        load = self.run / self.gap / sum(worker.slots or 1 for worker in self.usable)
         low, high = 0.0, 2.0
         if load * high / (1 - exp(-high)) >= 1:
             for _ in range(12):
