Record: waiting with T as learned closes every worker

With none open a work item waited at the dispatcher; T at its critical value keeps the virtual queues at load 1, so idle slots stayed closed and everything waited.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -33,26 +33,36 @@
     WriteOff,
 )
 
-ASK_AGAIN = 0  # the timer token of the next call to discovery; a work item's timers count up from 1
+ASK_AGAIN, BEAT = 0, 1  # timer tokens: the next call to discovery; the next look at the waiting work items
+
+
+WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 
 
 class Row:
     """What the module reads of one category."""
 
-    __slots__ = ("effect", "group", "window", "kind", "run")
+    __slots__ = (
+        "effect", "group", "window", "kind", "due_time", "stretch", "expiry", "credit", "late_credit", "run",
+    )
 
     def __init__(self, category):
         self.effect = category.effect
         self.group = category.group
         self.window = category.window
         self.kind = category.kind
+        self.due_time = category.due_time
+        self.stretch = category.stretch
+        self.expiry = category.expiry
+        self.credit = category.credit
+        self.late_credit = category.late_credit
         self.run = 0.0  # learned: mean running time, 0 while none was seen
 
 
 class Out:
     """One hand-off."""
 
-    __slots__ = ("wi", "number", "worker", "sent", "answered", "epoch")
+    __slots__ = ("wi", "number", "worker", "sent", "answered", "elapsed")
 
     def __init__(self, wi, number, worker, sent):
         self.wi = wi
@@ -60,12 +70,17 @@
         self.worker = worker
         self.sent = sent
         self.answered = False
-        self.epoch = 0  # once answered: the update epoch at which its slots open again
+        self.elapsed = 0  # once answered
+
+    def keeps_closed(self, now, T):
+        """Up to the first of the epochs, T apart from the hand-off on, that finds it answered."""
+        return not self.answered or self.sent + T * ceil(self.elapsed / T) > now
 
 
 class WorkItem:
     __slots__ = (
-        "id", "row", "account", "slots", "memory", "came", "expiry", "course", "hos", "out", "anchor", "ended",
+        "id", "row", "account", "slots", "memory", "expiry", "due", "course", "hos", "out", "anchor", "ended",
+        "waits",
     )
 
     def __init__(self, event, row, now):
@@ -74,13 +89,15 @@
         self.account = event.account
         self.slots = max(1.0, event.slots)
         self.memory = event.memory
-        self.came = now
         self.expiry = now + event.time_left
+        # Due time counts from the client's first try: a later one has less time left of the same expiry.
+        self.due = self.expiry - row.expiry + row.due_time
         self.course = None
         self.hos = []
         self.out = 0
         self.anchor = None  # the first hand-off that may have run
         self.ended = False
+        self.waits = False
 
 
 class Worker:
@@ -120,8 +137,8 @@
         self.workers = {}  # every worker ever listed
         self.usable = []  # those listed as ready
         self.items = {}
-        self.timers = {}  # token -> work item
-        self.token = ASK_AGAIN
+        self.queue = []  # work items that wait for an open worker
+        self.beating = False
         self.now = 0
         self.actions = []
         self.T = SECOND
@@ -144,6 +161,7 @@
             reaction = self.reactions.get(type(event))
             if reaction is not None:
                 reaction(event)
+        self._serve()
         return self.actions
 
     # ---- the course of one work item
@@ -151,7 +169,10 @@
     def _course(self, wi):
         """A work item from top to bottom; its value is the final answer, None where that has been given."""
         while True:
-            worker = self._random_open(wi) or self._random_any(wi)
+            worker = self._random_open(wi)
+            if worker is None and self._worth_waiting(wi):
+                worker = yield WAIT
+            worker = worker or self._random_any(wi)
             if worker is None:
                 return self._giving_up(wi)
             answer = yield worker
@@ -160,6 +181,22 @@
             if not self._may_go_again(wi):
                 return self._giving_up(wi)
 
+    def _worth_waiting(self, wi):
+        return self._start_by(wi) > self.now
+
+    def _start_by(self, wi):
+        """The last moment at which a hand-off is likely to earn credit."""
+        run = int(wi.row.run or self.run)
+        if wi.row.late_credit:
+            return wi.expiry - 2 * run
+        return wi.due + int((wi.row.stretch - 1) * run)
+
+    def _value(self, wi):
+        """Credit for the work it takes; what waits is served by it, the earlier due first."""
+        row = wi.row
+        late = self.now > wi.due + int((row.stretch - 1) * row.run)
+        return (row.late_credit if late else 1.0) * row.credit / (row.run or 1.0), -wi.due
+
     def _may_go_again(self, wi):
         if len(wi.hos) >= self.terms.most_hand_offs or self.now >= wi.expiry:
             return False
@@ -182,7 +219,51 @@
         except StopIteration as end:
             self._end(wi, end.value)
         else:
-            self._hand_off(wi, worker)
+            if worker is WAIT:
+                wi.waits = True
+                self.queue.append(wi)
+            else:
+                self._hand_off(wi, worker)
+
+    def _serve(self):
+        """Give what waits its turn; what can no longer earn anything is answered."""
+        now = self.now
+        if self.queue:
+            waiting = sorted(self.queue, key=self._value, reverse=True)
+            for wi in waiting:
+                if wi.ended:
+                    continue
+                worker = self._random_open(wi)
+                if worker is not None:
+                    wi.waits = False
+                    self._advance(wi, worker)
+                elif self._start_by(wi) <= now:
+                    wi.waits = False
+                    self._end(wi, self._giving_up(wi))
+                elif not any(self._open_slots(worker) >= 1 for worker in self.usable):
+                    break
+            for wi in waiting:
+                if wi.waits and self._start_by(wi) <= now:
+                    wi.waits = False
+                    self._end(wi, self._giving_up(wi))
+            self.queue = [wi for wi in self.queue if wi.waits and not wi.ended]
+        if self.queue and not self.beating:
+            # One look for each slot likely to come free somewhere.
+            self.beating = True
+            slots = sum(worker.slots or 1 for worker in self.usable) or 1
+            self.actions.append(SetTimer(max(2 * self.terms.tick, int((self.run or self.T) / slots)), BEAT))
+
+    def _beat(self):
+        """Ask the closed worker not heard of for longest."""
+        self.beating = False
+        if self.queue and self.terms.may_probe:
+            closed = [worker for worker in self.usable if not worker.probing and self._open_slots(worker) < 1]
+            if closed:
+                self._probe(min(closed, key=lambda worker: worker.heard))
+
+    def _probe(self, worker):
+        worker.probing = True
+        self.actions.append(Probe(worker.id))
 
     def _end(self, wi, answer):
         wi.ended = True
@@ -243,6 +324,8 @@
         if event.token == ASK_AGAIN:
             self.asking = False
             self._subscribe()
+        elif event.token == BEAT:
+            self._beat()
 
     def _noted(self, event):
         pass
@@ -306,7 +389,8 @@
     def _open_slots(self, worker):
         """How many of a worker's slots are open: by own record at their epochs, and no more than it reports."""
         now = self.now
-        worker.closed = closed = [ho for ho in worker.closed if not ho.answered or ho.epoch > now]
+        T = self.terms.tick if self.queue else self.T
+        worker.closed = closed = [ho for ho in worker.closed if ho.keeps_closed(now, T)]
         if worker.shut_until > now:
             return 0
         own = (worker.slots or 1) - sum(ho.wi.slots for ho in closed)
@@ -318,8 +402,7 @@
         # A report that says 'busy' would hold for ever where this dispatcher alone sends no more: at epochs
         # T apart the worker is asked again.
         if now - worker.heard >= self.T and not worker.probing and self.terms.may_probe:
-            worker.probing = True
-            self.actions.append(Probe(worker.id))
+            self._probe(worker)
         return 0
 
     def _random_any(self, wi):
@@ -375,7 +458,7 @@
         worker.out -= 1
         self._hear(worker, event.report)
         x = event.elapsed
-        ho.epoch = ho.sent + self.T * ceil(x / self.T)
+        ho.elapsed = x
         if event.outcome == Outcome.OK:
             worker.fails = 0
             row = wi.row
@@ -383,7 +466,7 @@
             self.run += (x - self.run) / 16 if self.run else x
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             worker.fails += 1
-            worker.shut_until = max(worker.shut_until, ho.epoch + self.T)
+            worker.shut_until = max(worker.shut_until, self.now + self.T)
 
     def _hear(self, worker, report):
         if report is None or report.free_slots is None:
@@ -392,8 +475,6 @@
         worker.waiting = report.waiting or 0.0
         running = max(0.0, report.held - worker.waiting) if report.held is not None else 0.0
         worker.slots = max(worker.slots, round(worker.free + running if worker.free >= 0.5 else worker.free))
-        if worker.free < 0.5:
-            worker.shut_until = max(worker.shut_until, self.now + self.T)
 
     def _learn_T(self):
         """T keeps own load x T/(1-e^-T) under 1, in mean running times, and is two of them when quiet."""
