Set late reports aside, told by own record

A report that holds fewer than this dispatcher has out there was taken before those were sent: that dates it. Reports older than a mean running time no longer decide.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -139,6 +139,8 @@
         self.items = {}
         self.queue = []  # work items that wait for an open worker
         self.beating = False
+        self.lag = 0  # learned: how old reports are when they come
+        self.lag_at = 0
         self.now = 0
         self.actions = []
         self.T = SECOND
@@ -394,9 +396,9 @@
         if worker.shut_until > now:
             return 0
         own = (worker.slots or 1) - sum(ho.wi.slots for ho in closed)
-        if worker.free is None or own <= 0:
+        if own <= 0 or worker.free is None or not self._is_fresh(worker):
             return own
-        free = worker.free - sum(ho.wi.slots for ho in closed if ho.sent >= worker.heard)
+        free = worker.free - sum(ho.wi.slots for ho in closed if ho.sent >= worker.heard - self.lag)
         if free >= max(1, worker.slots / 4) and worker.waiting < 1:
             return min(own, free)
         # A report that says 'busy' would hold for ever where this dispatcher alone sends no more: at epochs
@@ -405,6 +407,10 @@
             self._probe(worker)
         return 0
 
+    def _is_fresh(self, worker):
+        """Whether its last report still says something: younger than work items commonly run."""
+        return self.now - worker.heard + self.lag < (self.run or self.T)
+
     def _random_any(self, wi):
         """With none open: a random worker, passing over those well over the mean in own hand-offs out."""
         choices = [worker for worker in self.usable if self._allowed(worker, wi)]
@@ -471,6 +477,14 @@
     def _hear(self, worker, report):
         if report is None or report.free_slots is None:
             return
+        if report.held is not None:
+            # Late reports, told by own record: one that holds fewer than are out there from here alone was
+            # taken before the first of them that it lacks was sent.
+            out = [ho for ho in worker.closed if not ho.answered]
+            held = round(report.held)
+            self.lag = max(self.now - out[held].sent if held < len(out) else 0,
+                           int(self.lag * exp((self.lag_at - self.now) / (8 * (self.run or self.T)))))
+            self.lag_at = self.now
         worker.free, worker.heard = report.free_slots, self.now
         worker.waiting = report.waiting or 0.0
         running = max(0.0, report.held - worker.waiting) if report.held is not None else 0.0
