Ask an open worker for its busy alert right before the hand-off

The design assumes one dispatcher; with others sending too, an open worker may have filled. Where reports are prompt the pick is asked first and passed over if it says busy.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -39,6 +39,15 @@
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 
 
+class Ask:
+    """What a work item yields to have a worker's busy alert; it is resumed with an open worker or None."""
+
+    __slots__ = ("worker",)
+
+    def __init__(self, worker):
+        self.worker = worker
+
+
 class Row:
     """What the module reads of one category."""
 
@@ -103,7 +112,7 @@
 class Worker:
     __slots__ = (
         "id", "area", "kind", "pod", "standing", "started_at", "slots", "closed", "out", "shut_until",
-        "fails", "free", "waiting", "heard", "probing", "pushed",
+        "fails", "free", "waiting", "heard", "probing", "askers", "pushed",
     )
 
     def __init__(self, entry, epoch):
@@ -112,6 +121,7 @@
         self.out = 0  # own hand-offs
         self.fails = 0  # in a row
         self.probing = False
+        self.askers = []  # work items that asked for its busy alert
         self.pushed = deque()  # (when, work) sent while it was cold
         self.list(entry)
         self.restart(epoch)
@@ -172,6 +182,8 @@
         """A work item from top to bottom; its value is the final answer, None where that has been given."""
         while True:
             worker = self._random_open(wi)
+            while worker is not None and self._should_ask(worker):
+                worker = yield Ask(worker)
             if worker is None and self._worth_waiting(wi):
                 worker = yield WAIT
             worker = worker or self._random_any(wi)
@@ -183,6 +195,16 @@
             if not self._may_go_again(wi):
                 return self._giving_up(wi)
 
+    def _should_ask(self, worker):
+        """With others sending too, a worker is asked for its busy alert before it counts as open."""
+        terms = self.terms
+        return (terms.may_probe and terms.dispatchers > 1 and self.now - worker.heard > 2 * terms.tick
+                and self._prompt())
+
+    def _prompt(self):
+        """Whether reports say how things are now."""
+        return self.lag * 8 < (self.run or self.T)
+
     def _worth_waiting(self, wi):
         return self._start_by(wi) > self.now
 
@@ -224,6 +246,11 @@
             if worker is WAIT:
                 wi.waits = True
                 self.queue.append(wi)
+            elif type(worker) is Ask:
+                worker = worker.worker
+                worker.askers.append(wi)
+                if not worker.probing:
+                    self._probe(worker)
             else:
                 self._hand_off(wi, worker)
 
@@ -260,7 +287,7 @@
         self.beating = False
         if self.queue and self.terms.may_probe:
             closed = [worker for worker in self.usable if not worker.probing and self._open_slots(worker) < 1]
-            if closed:
+            if closed and self._prompt():
                 self._probe(min(closed, key=lambda worker: worker.heard))
 
     def _probe(self, worker):
@@ -337,6 +364,13 @@
         if worker is not None:
             worker.probing = False
             self._hear(worker, event.report)
+            if event.outcome != Outcome.OK:
+                worker.shut_until = max(worker.shut_until, self.now + self.T)
+            askers, worker.askers = worker.askers, []
+            for wi in askers:
+                if not wi.ended:
+                    still_open = self._open_slots(worker) >= wi.slots and self._allowed(worker, wi)
+                    self._advance(wi, worker if still_open else self._random_open(wi))
 
     def _listed(self, event):
         if event.kind == ListKind.FAILED:
@@ -395,10 +429,11 @@
         worker.closed = closed = [ho for ho in worker.closed if ho.keeps_closed(now, T)]
         if worker.shut_until > now:
             return 0
-        own = (worker.slots or 1) - sum(ho.wi.slots for ho in closed)
+        own = (worker.slots or 1) - sum(ho.wi.slots for ho in closed) - len(worker.askers)
         if own <= 0 or worker.free is None or not self._is_fresh(worker):
             return own
         free = worker.free - sum(ho.wi.slots for ho in closed if ho.sent >= worker.heard - self.lag)
+        free -= len(worker.askers)
         if free >= max(1, worker.slots / 4) and worker.waiting < 1:
             return min(own, free)
         # A report that says 'busy' would hold for ever where this dispatcher alone sends no more: at epochs
