--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -180,11 +180,11 @@
 
     def _course(self, wi):
         """A work item from top to bottom; its value is the final answer, None where that has been given."""
-        while True:
+        while self._start_by(wi) > self.now:
             worker = self._random_open(wi)
             while worker is not None and self._should_ask(worker):
                 worker = yield Ask(worker)
-            if worker is None and self._worth_waiting(wi):
+            if worker is None:
                 worker = yield WAIT
             worker = worker or self._random_any(wi)
             if worker is None:
@@ -193,7 +193,8 @@
             if answer.ended:
                 return None
             if not self._may_go_again(wi):
-                return self._giving_up(wi)
+                break
+        return self._giving_up(wi)
 
     def _should_ask(self, worker):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
@@ -205,21 +206,17 @@
         """Whether reports say how things are now."""
         return self.lag * 8 < (self.run or self.T)
 
-    def _worth_waiting(self, wi):
-        return self._start_by(wi) > self.now
-
     def _start_by(self, wi):
         """The last moment at which a hand-off is likely to earn credit."""
-        run = int(wi.row.run or self.run)
         if wi.row.late_credit:
-            return wi.expiry - 2 * run
-        return wi.due + int((wi.row.stretch - 1) * run)
+            return wi.expiry - 2 * int(wi.row.run or self.run)
+        return wi.due
 
     def _value(self, wi):
-        """Credit for the work it takes; what waits is served by it, the earlier due first."""
+        """Credit for the work it takes; what waits is served by it, the newest first while it can be in time."""
         row = wi.row
-        late = self.now > wi.due + int((row.stretch - 1) * row.run)
-        return (row.late_credit if late else 1.0) * row.credit / (row.run or 1.0), -wi.due
+        late = self.now > wi.due
+        return (row.late_credit if late else 1.0) * row.credit / (row.run or 1.0), -wi.due if late else wi.due
 
     def _may_go_again(self, wi):
         if len(wi.hos) >= self.terms.most_hand_offs or self.now >= wi.expiry:
