--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -89,7 +89,7 @@
 class WorkItem:
     __slots__ = (
         "id", "row", "account", "slots", "memory", "expiry", "due", "course", "hos", "out", "anchor", "ended",
-        "waits",
+        "waits", "token",
     )
 
     def __init__(self, event, row, now):
@@ -106,7 +106,8 @@
         self.out = 0
         self.anchor = None  # the first hand-off that may have run
         self.ended = False
-        self.waits = False
+        self.waits = None  # while no hand-off is out: WAIT, or the worker asked
+        self.token = 0  # its newest timer
 
 
 class Worker:
@@ -147,6 +148,9 @@
         self.workers = {}  # every worker ever listed
         self.usable = []  # those listed as ready
         self.items = {}
+        self.timers = {}  # token -> work item
+        self.token = BEAT
+        self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = []  # work items that wait for an open worker
         self.beating = False
         self.lag = 0  # learned: how old reports are when they come
@@ -235,44 +239,53 @@
         return Defer(wi.id, min(self.T, self.terms.longest_come_back) if self.terms.come_back else 0)
 
     def _advance(self, wi, answer=None):
+        wi.waits = None
         try:
             worker = wi.course.send(answer)
         except StopIteration as end:
             self._end(wi, end.value)
         else:
             if worker is WAIT:
-                wi.waits = True
                 self.queue.append(wi)
+                self._guard(wi, WAIT, self._start_by(wi) - self.now)
             elif type(worker) is Ask:
                 worker = worker.worker
                 worker.askers.append(wi)
+                self._guard(wi, worker, min(self._start_by(wi) - self.now, 4 * self.ask_time + 2 * self.terms.tick))
                 if not worker.probing:
                     self._probe(worker)
             else:
                 self._hand_off(wi, worker)
 
+    def _guard(self, wi, what, after):
+        """A work item with no hand-off out has a timer: nothing it waits for may outlast its chance."""
+        wi.waits = what
+        self.token = self.token + 1 if self.token < 2**32 - 1 else BEAT + 1
+        wi.token = self.token
+        self.timers[wi.token] = wi
+        self.actions.append(SetTimer(after, wi.token))
+
+    def _overdue(self, wi):
+        what, wi.waits = wi.waits, None
+        if what is WAIT:
+            self.queue.remove(wi)
+            self._end(wi, self._giving_up(wi))
+        else:
+            # No busy alert came: silence after a question is no sign of idleness.
+            what.askers.remove(wi)
+            what.shut_until = max(what.shut_until, self.now + self.T)
+            self._advance(wi, self._random_open(wi))
+
     def _serve(self):
         """Give what waits its turn; what can no longer earn anything is answered."""
-        now = self.now
         if self.queue:
-            waiting = sorted(self.queue, key=self._value, reverse=True)
-            for wi in waiting:
-                if wi.ended:
-                    continue
+            for wi in sorted(self.queue, key=self._value, reverse=True):
                 worker = self._random_open(wi)
                 if worker is not None:
-                    wi.waits = False
+                    self.queue.remove(wi)
                     self._advance(wi, worker)
-                elif self._start_by(wi) <= now:
-                    wi.waits = False
-                    self._end(wi, self._giving_up(wi))
                 elif not any(self._open_slots(worker) >= 1 for worker in self.usable):
                     break
-            for wi in waiting:
-                if wi.waits and self._start_by(wi) <= now:
-                    wi.waits = False
-                    self._end(wi, self._giving_up(wi))
-            self.queue = [wi for wi in self.queue if wi.waits and not wi.ended]
         if self.queue and not self.beating:
             # One look for each slot likely to come free somewhere.
             self.beating = True
@@ -294,6 +307,11 @@
     def _end(self, wi, answer):
         wi.ended = True
         wi.course = None
+        if wi.waits is WAIT:
+            self.queue.remove(wi)
+        elif wi.waits is not None:
+            wi.waits.askers.remove(wi)
+        wi.waits = None
         if answer is not None:
             self.actions.append(answer)
         if not wi.out:
@@ -352,6 +370,10 @@
             self._subscribe()
         elif event.token == BEAT:
             self._beat()
+        else:
+            wi = self.timers.pop(event.token)
+            if wi.token == event.token and wi.waits is not None:
+                self._overdue(wi)
 
     def _noted(self, event):
         pass
@@ -361,11 +383,13 @@
         if worker is not None:
             worker.probing = False
             self._hear(worker, event.report)
-            if event.outcome != Outcome.OK:
+            if event.outcome == Outcome.OK:
+                self.ask_time += (event.elapsed - self.ask_time) // 8
+            else:
                 worker.shut_until = max(worker.shut_until, self.now + self.T)
             askers, worker.askers = worker.askers, []
             for wi in askers:
-                if not wi.ended:
+                if wi.waits is worker:
                     still_open = self._open_slots(worker) >= wi.slots and self._allowed(worker, wi)
                     self._advance(wi, worker if still_open else self._random_open(wi))
 
