Without fresh reports count on this dispatcher's part of the slots alone

Blind, own record sees a third of what a worker holds, so nearly every slot looked open. The part is slots over dispatchers, one at least; with one dispatcher it is all of them.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -284,7 +284,7 @@
                 if worker is not None:
                     self.queue.remove(wi)
                     self._advance(wi, worker)
-                elif not any(self._open_slots(worker) >= 1 for worker in self.usable):
+                elif not any(self._open_slots(worker) > 0 for worker in self.usable):
                     break
         if self.queue and not self.beating:
             # One look for each slot likely to come free somewhere.
@@ -390,7 +390,7 @@
             askers, worker.askers = worker.askers, []
             for wi in askers:
                 if wi.waits is worker:
-                    still_open = self._open_slots(worker) >= wi.slots and self._allowed(worker, wi)
+                    still_open = self._open_slots(worker) > 0 and self._allowed(worker, wi)
                     self._advance(wi, worker if still_open else self._random_open(wi))
 
     def _listed(self, event):
@@ -438,7 +438,7 @@
         choices, weights = [], []
         for worker in self.usable:
             slots = self._open_slots(worker)
-            if slots >= wi.slots and self._allowed(worker, wi):
+            if slots > 0 and (worker.slots or 1) - worker.out >= wi.slots and self._allowed(worker, wi):
                 choices.append(worker)
                 weights.append(slots)
         return self.random.choices(choices, weights)[0] if choices else None
@@ -450,9 +450,13 @@
         worker.closed = closed = [ho for ho in worker.closed if ho.keeps_closed(now, T)]
         if worker.shut_until > now:
             return 0
-        own = (worker.slots or 1) - sum(ho.wi.slots for ho in closed) - len(worker.askers)
+        slots = worker.slots or 1
+        taken = sum(ho.wi.slots for ho in closed) + len(worker.askers)
+        own = slots - taken
         if own <= 0 or worker.free is None or not self._is_fresh(worker):
-            return own
+            # Blind to what others send, this dispatcher counts on its part of the slots alone.
+            part = max(1, slots / self.terms.dispatchers)
+            return part - taken if taken < part else min(own, 0.01 / taken)
         free = worker.free - sum(ho.wi.slots for ho in closed if ho.sent >= worker.heard - self.lag)
         free -= len(worker.askers)
         if free >= max(1, worker.slots / 4) and worker.waiting < 1:
