--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -273,7 +273,7 @@
         else:
             # No busy alert came: silence after a question is no sign of idleness.
             what.askers.remove(wi)
-            what.shut_until = max(what.shut_until, self.now + self.T)
+            self._failed(what)
             self._advance(wi, self._random_open(wi))
 
     def _serve(self):
@@ -386,7 +386,7 @@
             if event.outcome == Outcome.OK:
                 self.ask_time += (event.elapsed - self.ask_time) // 8
             else:
-                worker.shut_until = max(worker.shut_until, self.now + self.T)
+                self._failed(worker)
             askers, worker.askers = worker.askers, []
             for wi in askers:
                 if wi.waits is worker:
@@ -527,12 +527,17 @@
         ho.elapsed = x
         if event.outcome == Outcome.OK:
             worker.fails = 0
+            worker.shut_until = 0
             row = wi.row
             row.run += (x - row.run) / 16 if row.run else x
             self.run += (x - self.run) / 16 if self.run else x
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
-            worker.fails += 1
-            worker.shut_until = max(worker.shut_until, self.now + self.T)
+            self._failed(worker)
+
+    def _failed(self, worker):
+        """Closed an epoch more, twice as long for each further failure in a row, up to an answer from it."""
+        worker.shut_until = max(worker.shut_until, self.now + (self.T << min(worker.fails, 4)))
+        worker.fails += 1
 
     def _hear(self, worker, report):
         if report is None or report.free_slots is None:
