Prefer workers of this area where crossing has a price

A timer asked for in the past no longer ends the adapter, and an action that cannot be encoded becomes the crash action.

--- a/heronwinch/benchlink/host.py
+++ b/heronwinch/benchlink/host.py
@@ -32,8 +32,7 @@
         for instance, mine in inbox.items():
             try:
                 actions = self.dispatchers[instance].handle(now, mine)
+                records.extend([codec.encode(instance, action) for action in actions])
             except Exception as fault:  # the wire wants the module's failure as an action, not as an exit
                 records.append(codec.encode_crash(instance, f"{type(fault).__name__}: {fault}"))
-            else:
-                records.extend([codec.encode(instance, action) for action in actions])
         return codec.reply(records)
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -39,6 +39,9 @@
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 
 
+MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
+
+
 class Ask:
     """What a work item yields to have a worker's busy alert; it is resumed with an open worker or None."""
 
@@ -263,7 +266,7 @@
         self.token = self.token + 1 if self.token < 2**32 - 1 else BEAT + 1
         wi.token = self.token
         self.timers[wi.token] = wi
-        self.actions.append(SetTimer(after, wi.token))
+        self.actions.append(SetTimer(max(1, after), wi.token))
 
     def _overdue(self, wi):
         what, wi.waits = wi.waits, None
@@ -434,13 +437,21 @@
     # ---- openness
 
     def _random_open(self, wi):
-        """A random worker among those open, each slot counting as one of the paper's servers."""
-        choices, weights = [], []
+        """A random worker among those open, each slot counting as one of the paper's servers.
+
+        Where crossing areas has a price, those of this area come first.
+        """
+        best, choices, weights = -1, [], []
+        crossing = self.terms.area_price > 0
         for worker in self.usable:
             slots = self._open_slots(worker)
             if slots > 0 and (worker.slots or 1) - worker.out >= wi.slots and self._allowed(worker, wi):
-                choices.append(worker)
-                weights.append(slots)
+                rank = 2 * (slots >= MOST) + (crossing and worker.area == self.terms.area)
+                if rank > best:
+                    best, choices, weights = rank, [], []
+                if rank == best:
+                    choices.append(worker)
+                    weights.append(slots)
         return self.random.choices(choices, weights)[0] if choices else None
 
     def _open_slots(self, worker):
@@ -456,7 +467,7 @@
         if own <= 0 or worker.free is None or not self._is_fresh(worker):
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
             part = max(1, slots / self.terms.dispatchers)
-            return part - taken if taken < part else min(own, 0.01 / taken)
+            return part - taken if taken < part else min(own, MOST / (1 + taken))
         free = worker.free - sum(ho.wi.slots for ho in closed if ho.sent >= worker.heard - self.lag)
         free -= len(worker.askers)
         if free >= max(1, worker.slots / 4) and worker.waiting < 1:
