Tell the other dispatchers where own hand-offs are, where messages are allowed

Each tells the others the slots its hand-offs hold at workers where that changed, and everything once a second (messages get lost). A worker's open slots are then what nobody holds; while one dispatcher is silent, each is back to its own part. The other two deployments allow no messages.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -9,6 +9,7 @@
 from collections import deque
 from math import ceil, exp
 from random import Random
+from struct import Struct
 
 from heronwinch.interface import (
     NEVER_RAN,
@@ -19,6 +20,7 @@
     Effect,
     Group,
     HandOff,
+    Heard,
     Left,
     Listed,
     ListKind,
@@ -30,10 +32,14 @@
     SetTimer,
     Standing,
     Subscribe,
+    Tell,
     WriteOff,
 )
 
-ASK_AGAIN, BEAT = 0, 1  # timer tokens: the next call to discovery; the next look at the waiting work items
+# Timer tokens: the next call to discovery, the next look at the waiting work items, the next whole tale to the
+# other dispatchers; a work item's own count up from there.
+ASK_AGAIN, BEAT, TALE, OWN = 0, 1, 2, 3
+TOLD = Struct("<IB")  # a worker and the slots that the teller's hand-offs hold there
 
 
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
@@ -152,7 +158,10 @@
         self.usable = []  # those listed as ready
         self.items = {}
         self.timers = {}  # token -> work item
-        self.token = BEAT
+        self.token = OWN
+        self.untold = {}  # workers whose own hand-offs changed since the others were told
+        self.tales = {}  # another dispatcher -> what it last told
+        self.tale_due = False
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = []  # work items that wait for an open worker
         self.beating = False
@@ -170,6 +179,7 @@
         self.reactions = {
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
+            Heard: self._heard,
         }
 
     def handle(self, now, events):
@@ -181,8 +191,42 @@
             if reaction is not None:
                 reaction(event)
         self._serve()
+        if self.terms.may_tell and self.untold:
+            self._tell()
         return self.actions
 
+    # ---- messages between dispatchers, where allowed: own record is each one's best knowledge
+
+    def _tell(self, whole=False):
+        told = [w for w in self.workers.values() if w.out] if whole else list(self.untold.values())
+        self.untold = {}
+        for at in range(0, max(1, len(told)), 50):
+            body = b"".join(TOLD.pack(w.id, min(255, w.out)) for w in told[at:at + 50])
+            self.actions.append(Tell(-1, bytes([whole and at == 0]) + body))
+        if whole or not self.tale_due:
+            # Messages get lost: a whole tale every second mends what the changes missed.
+            self.tale_due = True
+            self.actions.append(SetTimer(SECOND, TALE))
+
+    def _heard(self, event):
+        tale = self.tales.get(event.sender)
+        if tale is None:
+            tale = self.tales[event.sender] = {}
+        if event.body[:1] == b"\x01":
+            tale.clear()
+        for worker, out in TOLD.iter_unpack(event.body[1:]):
+            tale[worker] = out
+        tale[None] = self.now
+
+    def _others(self, worker):
+        """Slots that the other dispatchers say they hold there; None while one of them is silent."""
+        if not self.terms.may_tell or len(self.tales) < self.terms.dispatchers - 1:
+            return None
+        # One that died tells nothing any more, and what it held runs on: blind again after two tales missed.
+        if any(self.now - tale[None] > 2.5 * SECOND for tale in self.tales.values()):
+            return None
+        return sum(tale.get(worker.id, 0) for tale in self.tales.values())
+
     # ---- the course of one work item
 
     def _course(self, wi):
@@ -207,7 +251,7 @@
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
         terms = self.terms
         return (terms.may_probe and terms.dispatchers > 1 and self.now - worker.heard > 2 * terms.tick
-                and self._prompt())
+                and self._prompt() and self._others(worker) is None)
 
     def _prompt(self):
         """Whether reports say how things are now."""
@@ -263,7 +307,7 @@
     def _guard(self, wi, what, after):
         """A work item with no hand-off out has a timer: nothing it waits for may outlast its chance."""
         wi.waits = what
-        self.token = self.token + 1 if self.token < 2**32 - 1 else BEAT + 1
+        self.token = self.token + 1 if self.token < 2**32 - 1 else OWN
         wi.token = self.token
         self.timers[wi.token] = wi
         self.actions.append(SetTimer(max(1, after), wi.token))
@@ -327,6 +371,7 @@
         wi.out += 1
         worker.out += 1
         worker.closed.append(ho)
+        self.untold[worker.id] = worker
         if self._is_cold(worker):
             worker.pushed.append((now, self._work(wi)))
         if self.last_sent:
@@ -373,6 +418,8 @@
             self._subscribe()
         elif event.token == BEAT:
             self._beat()
+        elif event.token == TALE:
+            self._tell(whole=True)
         else:
             wi = self.timers.pop(event.token)
             if wi.token == event.token and wi.waits is not None:
@@ -464,6 +511,9 @@
         slots = worker.slots or 1
         taken = sum(ho.wi.slots for ho in closed) + len(worker.askers)
         own = slots - taken
+        others = self._others(worker)
+        if others is not None and own > 0:
+            return max(0, own - others)
         if own <= 0 or worker.free is None or not self._is_fresh(worker):
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
             part = max(1, slots / self.terms.dispatchers)
@@ -533,6 +583,7 @@
     def _learn(self, ho, event):
         worker, wi = ho.worker, ho.wi
         worker.out -= 1
+        self.untold[worker.id] = worker
         self._hear(worker, event.report)
         x = event.elapsed
         ho.elapsed = x
