Round what reports say

Reports carry up to 5% noise: one free slot read 0.97, under the one a job asks, and kept its worker closed.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -612,10 +612,12 @@
             self.lag = max(self.now - out[held].sent if held < len(out) else 0,
                            int(self.lag * exp((self.lag_at - self.now) / (8 * (self.run or self.T)))))
             self.lag_at = self.now
-        worker.free, worker.heard = report.free_slots, self.now
-        worker.waiting = report.waiting or 0.0
-        running = max(0.0, report.held - worker.waiting) if report.held is not None else 0.0
-        worker.slots = max(worker.slots, round(worker.free + running if worker.free >= 0.5 else worker.free))
+        # Reports are a little noisy: taken as they come, a worker with its one slot free would read 0.97 and
+        # stay closed.
+        worker.free, worker.heard = round(report.free_slots), self.now
+        worker.waiting = round(report.waiting or 0)
+        running = max(0, round(report.held or 0) - worker.waiting)
+        worker.slots = max(worker.slots, worker.free + running if worker.free else 0)
 
     def _learn_T(self):
         """T keeps own load x T/(1-e^-T) under 1, in mean running times, and is two of them when quiet."""
