--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -48,6 +48,9 @@
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
 
 
+NEVER = float("inf")
+
+
 class Ask:
     """What a work item yields to have a worker's busy alert; it is resumed with an open worker or None."""
 
@@ -80,15 +83,16 @@
 class Out:
     """One hand-off."""
 
-    __slots__ = ("wi", "number", "worker", "sent", "answered", "elapsed")
+    __slots__ = ("wi", "number", "worker", "sent", "answered", "elapsed", "direct")
 
-    def __init__(self, wi, number, worker, sent):
+    def __init__(self, wi, number, worker, sent, direct):
         self.wi = wi
         self.number = number
         self.worker = worker
         self.sent = sent
         self.answered = False
         self.elapsed = 0  # once answered
+        self.direct = direct  # to an open worker: its time is running time, without waiting
 
     def keeps_closed(self, now, T):
         """Up to the first of the epochs, T apart from the hand-off on, that finds it answered."""
@@ -98,7 +102,7 @@
 class WorkItem:
     __slots__ = (
         "id", "row", "account", "slots", "memory", "expiry", "due", "course", "hos", "out", "anchor", "ended",
-        "waits", "token",
+        "waits", "token", "asks",
     )
 
     def __init__(self, event, row, now):
@@ -117,6 +121,7 @@
         self.ended = False
         self.waits = None  # while no hand-off is out: WAIT, or the worker asked
         self.token = 0  # its newest timer
+        self.asks = 0
 
 
 class Worker:
@@ -232,8 +237,8 @@
     def _course(self, wi):
         """A work item from top to bottom; its value is the final answer, None where that has been given."""
         while self._start_by(wi) > self.now:
-            worker = self._random_open(wi)
-            while worker is not None and self._should_ask(worker):
+            worker = self._random_open(wi) or self._random_any(wi)
+            while worker is not None and self._should_ask(worker, wi):
                 worker = yield Ask(worker)
             if worker is None:
                 worker = yield WAIT
@@ -247,10 +252,10 @@
                 break
         return self._giving_up(wi)
 
-    def _should_ask(self, worker):
+    def _should_ask(self, worker, wi):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
         terms = self.terms
-        return (terms.may_probe and terms.dispatchers > 1 and self.now - worker.heard > 2 * terms.tick
+        return (terms.may_probe and wi.asks < terms.most_hand_offs and terms.dispatchers > 1 and self.now - worker.heard > 2 * terms.tick
                 and self._prompt() and self._others(worker) is None)
 
     def _prompt(self):
@@ -298,6 +303,7 @@
             elif type(worker) is Ask:
                 worker = worker.worker
                 worker.askers.append(wi)
+                wi.asks += 1
                 self._guard(wi, worker, min(self._start_by(wi) - self.now, 4 * self.ask_time + 2 * self.terms.tick))
                 if not worker.probing:
                     self._probe(worker)
@@ -321,7 +327,7 @@
             # No busy alert came: silence after a question is no sign of idleness.
             what.askers.remove(wi)
             self._failed(what)
-            self._advance(wi, self._random_open(wi))
+            self._advance(wi, self._random_open(wi) or self._random_any(wi))
 
     def _serve(self):
         """Give what waits its turn; what can no longer earn anything is answered."""
@@ -366,7 +372,7 @@
 
     def _hand_off(self, wi, worker):
         now = self.now
-        ho = Out(wi, len(wi.hos), worker, now)
+        ho = Out(wi, len(wi.hos), worker, now, self._open_slots(worker) > 0)
         wi.hos.append(ho)
         wi.out += 1
         worker.out += 1
@@ -440,8 +446,8 @@
             askers, worker.askers = worker.askers, []
             for wi in askers:
                 if wi.waits is worker:
-                    still_open = self._open_slots(worker) > 0 and self._allowed(worker, wi)
-                    self._advance(wi, worker if still_open else self._random_open(wi))
+                    wi.waits = None
+                    self._advance(wi, self._after_alert(worker, wi))
 
     def _listed(self, event):
         if event.kind == ListKind.FAILED:
@@ -533,12 +539,42 @@
         return self.now - worker.heard + self.lag < (self.run or self.T)
 
     def _random_any(self, wi):
-        """With none open: a random worker, passing over those well over the mean in own hand-offs out."""
-        choices = [worker for worker in self.usable if self._allowed(worker, wi)]
-        if not choices:
-            return None
-        most = 2 * sum(worker.out for worker in choices) / len(choices) + 1
-        return self.random.choice([worker for worker in choices if worker.out <= most])
+        """With none open: a random worker, passing over those where it would wait too long to be in time."""
+        best, choices = wi.due - self.now, []
+        for worker in self.usable:
+            wait = self._wait_at(worker)
+            if wait <= best and self._allowed(worker, wi):
+                if wait < best:
+                    choices = []
+                best = wait
+                choices.append(worker)
+        return self.random.choice(choices) if choices else None
+
+    def _wait_at(self, worker):
+        """How long a work item is likely to wait behind those that a worker holds."""
+        if worker.shut_until > self.now or not worker.slots:
+            return NEVER
+        others = self._others(worker)
+        if others is not None:
+            held = worker.out + others
+        elif worker.free is not None and self._is_fresh(worker):
+            since = sum(ho.wi.slots for ho in worker.closed if ho.sent >= worker.heard - self.lag)
+            held = worker.slots - worker.free + worker.waiting + since
+        else:
+            return NEVER
+        held += len(worker.askers)
+        return max(0, held + 1 - worker.slots) * self.run / worker.slots
+
+    def _after_alert(self, worker, wi):
+        """The worker asked, if it is open; else another open one; else the one asked, if the wait is short."""
+        if not self._allowed(worker, wi):
+            return self._random_open(wi) or self._random_any(wi)
+        if self._open_slots(worker) > 0:
+            return worker
+        other = self._random_open(wi)
+        if other is None and self._wait_at(worker) <= wi.due - self.now:
+            return worker
+        return other or self._random_any(wi)
 
     def _allowed(self, worker, wi):
         """Kinds, the group of a ticketed work item that may have run, and what a cold worker can take."""
@@ -590,9 +626,10 @@
         if event.outcome == Outcome.OK:
             worker.fails = 0
             worker.shut_until = 0
-            row = wi.row
-            row.run += (x - row.run) / 16 if row.run else x
-            self.run += (x - self.run) / 16 if self.run else x
+            if ho.direct or not self.run:
+                row = wi.row
+                row.run += (x - row.run) / 16 if row.run else x
+                self.run += (x - self.run) / 16 if self.run else x
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             self._failed(worker)
 
