--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -554,15 +554,10 @@
         """How long a work item is likely to wait behind those that a worker holds."""
         if worker.shut_until > self.now or not worker.slots:
             return NEVER
-        others = self._others(worker)
-        if others is not None:
-            held = worker.out + others
-        elif worker.free is not None and self._is_fresh(worker):
-            since = sum(ho.wi.slots for ho in worker.closed if ho.sent >= worker.heard - self.lag)
-            held = worker.slots - worker.free + worker.waiting + since
-        else:
-            return NEVER
-        held += len(worker.askers)
+        if worker.free is None or not self._is_fresh(worker) or self._others(worker) is not None:
+            return NEVER  # blind; or the others tell of a freed slot at once, so waiting here loses nothing
+        since = sum(ho.wi.slots for ho in worker.closed if ho.sent >= worker.heard - self.lag)
+        held = worker.slots - worker.free + worker.waiting + since + len(worker.askers)
         return max(0, held + 1 - worker.slots) * self.run / worker.slots
 
     def _after_alert(self, worker, wi):
