Tell late reports by contradiction, believe again after a run that agrees

The dated lag was bounded by how long own hand-offs run, so reports three seconds late passed for fresh.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -49,6 +49,7 @@
 
 
 NEVER = float("inf")
+AGREEING = 8  # a late report agrees with own record three times in four at most: eight in a row are one in ten
 
 
 class Ask:
@@ -170,8 +171,7 @@
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = []  # work items that wait for an open worker
         self.beating = False
-        self.lag = 0  # learned: how old reports are when they come
-        self.lag_at = 0
+        self.doubt = 0  # while above 0, reports are held to be late: how many must agree with own record first
         self.now = 0
         self.actions = []
         self.T = SECOND
@@ -256,11 +256,7 @@
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
         terms = self.terms
         return (terms.may_probe and wi.asks < terms.most_hand_offs and terms.dispatchers > 1 and self.now - worker.heard > 2 * terms.tick
-                and self._prompt() and self._others(worker) is None)
-
-    def _prompt(self):
-        """Whether reports say how things are now."""
-        return self.lag * 8 < (self.run or self.T)
+                and not self.doubt and self._others(worker) is None)
 
     def _start_by(self, wi):
         """The last moment at which a hand-off is likely to earn credit."""
@@ -350,7 +346,7 @@
         self.beating = False
         if self.queue and self.terms.may_probe:
             closed = [worker for worker in self.usable if not worker.probing and self._open_slots(worker) < 1]
-            if closed and self._prompt():
+            if closed and not self.doubt:
                 self._probe(min(closed, key=lambda worker: worker.heard))
 
     def _probe(self, worker):
@@ -524,7 +520,7 @@
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
             part = max(1, slots / self.terms.dispatchers)
             return part - taken if taken < part else min(own, MOST / (1 + taken))
-        free = worker.free - sum(ho.wi.slots for ho in closed if ho.sent >= worker.heard - self.lag)
+        free = worker.free - sum(ho.wi.slots for ho in closed if ho.sent >= worker.heard)
         free -= len(worker.askers)
         if free >= max(1, worker.slots / 4) and worker.waiting < 1:
             return min(own, free)
@@ -536,7 +532,7 @@
 
     def _is_fresh(self, worker):
         """Whether its last report still says something: younger than work items commonly run."""
-        return self.now - worker.heard + self.lag < (self.run or self.T)
+        return not self.doubt and self.now - worker.heard < (self.run or self.T)
 
     def _random_any(self, wi):
         """With none open: a random worker, passing over those where it would wait too long to be in time."""
@@ -556,7 +552,7 @@
             return NEVER
         if worker.free is None or not self._is_fresh(worker) or self._others(worker) is not None:
             return NEVER  # blind; or the others tell of a freed slot at once, so waiting here loses nothing
-        since = sum(ho.wi.slots for ho in worker.closed if ho.sent >= worker.heard - self.lag)
+        since = sum(ho.wi.slots for ho in worker.closed if ho.sent >= worker.heard)
         held = worker.slots - worker.free + worker.waiting + since + len(worker.askers)
         return max(0, held + 1 - worker.slots) * self.run / worker.slots
 
@@ -637,13 +633,14 @@
         if report is None or report.free_slots is None:
             return
         if report.held is not None:
-            # Late reports, told by own record: one that holds fewer than are out there from here alone was
-            # taken before the first of them that it lacks was sent.
-            out = [ho for ho in worker.closed if not ho.answered]
-            held = round(report.held)
-            self.lag = max(self.now - out[held].sent if held < len(out) else 0,
-                           int(self.lag * exp((self.lag_at - self.now) / (8 * (self.run or self.T)))))
-            self.lag_at = self.now
+            # Late reports, told by own record: one that holds fewer than have long been out there from here
+            # alone is late. One that agrees may do so by luck, so it takes a run of them to believe again.
+            long_out = sum(not ho.answered and (self.now - ho.sent) * 8 > (self.run or self.T)
+                           for ho in worker.closed)
+            if round(report.held) < long_out:
+                self.doubt = AGREEING
+            elif long_out and self.doubt:
+                self.doubt -= 1
         # Reports are a little noisy: taken as they come, a worker with its one slot free would read 0.97 and
         # stay closed.
         worker.free, worker.heard = round(report.free_slots), self.now
