--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -36,8 +36,8 @@
     WriteOff,
 )
 
-# Timer tokens: the next call to discovery, the next look at the waiting work items, the next whole tale to the
-# other dispatchers; a work item's own count up from there.
+# Timer tokens: the next call to discovery, the next look at the waiting work items, the next whole tale to
+# the other dispatchers; a work item's own count up from there.
 ASK_AGAIN, BEAT, TALE, OWN = 0, 1, 2, 3
 TOLD = Struct("<IB")  # a worker and the slots that the teller's hand-offs hold there
 
@@ -49,7 +49,7 @@
 
 
 NEVER = float("inf")
-AGREEING = 8  # a late report agrees with own record three times in four at most: eight in a row are one in ten
+AGREEING = 8  # a late report agrees with own record three times in four at most, eight in a row one in ten
 
 
 class Ask:
@@ -171,7 +171,7 @@
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = []  # work items that wait for an open worker
         self.beating = False
-        self.doubt = 0  # while above 0, reports are held to be late: how many must agree with own record first
+        self.doubt = 0  # reports are held to be late until so many agree with own record
         self.now = 0
         self.actions = []
         self.T = SECOND
@@ -255,8 +255,9 @@
     def _should_ask(self, worker, wi):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
         terms = self.terms
-        return (terms.may_probe and wi.asks < terms.most_hand_offs and terms.dispatchers > 1 and self.now - worker.heard > 2 * terms.tick
-                and not self.doubt and self._others(worker) is None)
+        return (terms.may_probe and terms.dispatchers > 1 and wi.asks < terms.most_hand_offs
+                and self.now - worker.heard > 2 * terms.tick and not self.doubt
+                and self._others(worker) is None)
 
     def _start_by(self, wi):
         """The last moment at which a hand-off is likely to earn credit."""
@@ -265,7 +266,7 @@
         return wi.due
 
     def _value(self, wi):
-        """Credit for the work it takes; what waits is served by it, the newest first while it can be in time."""
+        """Credit for the work it takes: what waits is served by it, while in time the newest first."""
         row = wi.row
         late = self.now > wi.due
         return (row.late_credit if late else 1.0) * row.credit / (row.run or 1.0), -wi.due if late else wi.due
@@ -281,7 +282,8 @@
         """Deferred where a retry is provably harmless, else written off."""
         row = wi.row
         harmless = wi.anchor is None or row.effect == Effect.RERUNNABLE or (
-            row.effect == Effect.TICKETED and row.group == Group.ALL and self.now < wi.anchor.sent + row.window)
+            row.effect == Effect.TICKETED and row.group == Group.ALL
+            and self.now < wi.anchor.sent + row.window)
         if not harmless:
             return WriteOff(wi.id)
         return Defer(wi.id, min(self.T, self.terms.longest_come_back) if self.terms.come_back else 0)
@@ -300,7 +302,8 @@
                 worker = worker.worker
                 worker.askers.append(wi)
                 wi.asks += 1
-                self._guard(wi, worker, min(self._start_by(wi) - self.now, 4 * self.ask_time + 2 * self.terms.tick))
+                patience = 4 * self.ask_time + 2 * self.terms.tick
+                self._guard(wi, worker, min(self._start_by(wi) - self.now, patience))
                 if not worker.probing:
                     self._probe(worker)
             else:
@@ -504,7 +507,7 @@
         return self.random.choices(choices, weights)[0] if choices else None
 
     def _open_slots(self, worker):
-        """How many of a worker's slots are open: by own record at their epochs, and no more than it reports."""
+        """How many of a worker's slots are open: by own record at their epochs, no more than it reports."""
         now = self.now
         T = self.terms.tick if self.queue else self.T
         worker.closed = closed = [ho for ho in worker.closed if ho.keeps_closed(now, T)]
@@ -557,7 +560,7 @@
         return max(0, held + 1 - worker.slots) * self.run / worker.slots
 
     def _after_alert(self, worker, wi):
-        """The worker asked, if it is open; else another open one; else the one asked, if the wait is short."""
+        """The worker asked, if open; else another open one; else the one asked, if the wait is short."""
         if not self._allowed(worker, wi):
             return self._random_open(wi) or self._random_any(wi)
         if self._open_slots(worker) > 0:
@@ -595,7 +598,8 @@
         pushed = worker.pushed
         while pushed and pushed[0][0] <= self.now - terms.push_window:
             pushed.popleft()
-        budget = terms.push_multiple * part * self._least_slots(worker) * terms.push_window / terms.dispatchers
+        budget = terms.push_multiple * part * self._least_slots(worker) * terms.push_window
+        budget /= terms.dispatchers
         return sum(work for _, work in pushed) + self._work(wi) <= budget
 
     def _least_slots(self, worker):
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,94 @@
+"""Terms, a dispatcher under a hand-driven clock, and frames of the wire, for all tests."""
+
+import struct
+
+import pytest
+
+from heronwinch import interface as it
+from heronwinch.policy import Dispatcher
+
+MS = 1_000_000
+
+CATEGORY = it.Category(
+    effect=it.Effect.RERUNNABLE, group=it.Group.ALL, window=5000 * MS, due_time=300 * MS, stretch=1.25,
+    expiry=5000 * MS, credit=1.0, late_credit=0.0, kind=-1, priority=0)
+
+TERMS = it.Terms(
+    me=0, dispatchers=1, area=0, tick=2 * MS, categories=(CATEGORY,), accounts=(), excess_credit=1.0,
+    pushed_list=True, ask_every=10_000 * MS, drain_grace=500 * MS, answer_slack=8 * MS, cold_share=0.12,
+    warm_up=24_000 * MS, push_multiple=4.0, push_window=2000 * MS, most_hand_offs=4, parallel_tries=False,
+    may_cancel=True, may_probe=False, may_tell=False, come_back=True, longest_come_back=2000 * MS,
+    connect_timeout=250 * MS, connection_idle=30_000 * MS, progress_every=1000 * MS, tells_start=False,
+    queue_order="fifo", reports=True, area_price=0.0, waste_price=0.0, late_price=0.0, probe_price=0.0,
+    connection_price=0.0, message_price=0.0, listing_price=0.0)
+
+
+def entry(worker, area=0, kind=0, pod=0, standing=it.Standing.READY, started_at=0):
+    return it.Entry(worker, area, kind, pod, standing, 1.0, started_at)
+
+
+TWO = (entry(1), entry(2))
+
+
+class Driver:
+    """A dispatcher and its clock; keeps every action by type."""
+
+    def __init__(self, terms=TERMS, seed=1, workers=TWO, start=1_000_000 * MS):
+        self.now = start
+        self.dispatcher = Dispatcher(terms, seed)
+        self.terms = terms
+        self.all = []
+        self.timers = []
+        self.do(it.Listed(it.ListKind.CACHED, 1, tuple(workers)))
+
+    def do(self, *events, after=0):
+        """Actions on these events, `after` milliseconds on; timers due by then ring first."""
+        then = self.now + int(after * MS)
+        while self.timers and min(self.timers)[0] <= then:
+            self.timers.sort()
+            self.now, token = self.timers.pop(0)
+            self._handle([it.Rang(token)])
+        self.now = then
+        return self._handle(events)
+
+    def _handle(self, events):
+        actions = self.dispatcher.handle(self.now, list(events))
+        self.timers += [(self.now + a.after, a.token) for a in actions if type(a) is it.SetTimer]
+        self.all += actions
+        return [a for a in actions if type(a) is not it.SetTimer]
+
+    def arrive(self, wi, category=0, after=0, left=None, slots=1.0, account=0):
+        left = self.terms.categories[category].expiry if left is None else left * MS
+        return self.do(it.Arrived(wi, category, account, 0, left, 0, slots, 0.0, False, False), after=after)
+
+    def answer(self, wi, ho, worker, outcome=it.Outcome.OK, after=0, elapsed=100, report=None):
+        ended = outcome == it.Outcome.OK
+        return self.do(it.Answered(wi, ho, worker, outcome, elapsed * MS, ended, 0, report), after=after)
+
+    def final(self, wi):
+        """The names of the final answers given to a work item."""
+        return [type(a).__name__ for a in self.all if type(a) in (it.Defer, it.WriteOff) and a.wi == wi]
+
+    def sent(self, wi):
+        return [a.worker for a in self.all if type(a) is it.HandOff and a.wi == wi]
+
+
+@pytest.fixture
+def drive():
+    def make(effect=None, group=None, workers=TWO, seed=1, category=None, **terms):
+        row = CATEGORY._replace(**(category or {}))
+        if effect is not None:
+            row = row._replace(effect=effect)
+        if group is not None:
+            row = row._replace(group=group)
+        return Driver(TERMS._replace(**{"categories": (row,), **terms}), seed, workers)
+    return make
+
+
+def record(code, fields=b""):
+    return struct.pack("<HI", code, len(fields)) + fields
+
+
+def frame(*records, now=7):
+    body = b"".join(records)
+    return struct.pack("<IIQ", 16 + len(body), len(records), now) + body
--- /dev/null
+++ b/tests/test_benchlink.py
@@ -0,0 +1,151 @@
+import io
+import struct
+
+import pytest
+from conftest import frame, record
+
+from heronwinch import interface as it
+from heronwinch.benchlink import __main__ as program
+from heronwinch.benchlink import codec, host
+from heronwinch.benchlink.settings import SettingsError, read_terms
+
+SETTINGS = """areas=a,b
+az=b
+categories.count=1
+categories.0.due_time_ns=300000000
+categories.0.effect=dedup
+categories.0.expiry_ns=5000000000
+categories.0.group=zone
+discovery=on_request
+family_info.class_stretch=1.25
+invariants.drain_grace_ns=1
+invariants.overload_factor=4.0
+invariants.start_capacity=0.12
+invariants.tip_after_ns=2000000000
+invariants.warm_up_ns=24000000000
+limits.most_hand_offs=4
+load_info.fields=x0,pending,busy_reqs
+load_info.how=answers
+me=0
+siblings=1
+tick_ns=2000000
+some.key.of.tomorrow=7"""
+
+
+def spawn(text=SETTINGS, instance=3):
+    return record(1030, struct.pack("<HQI", instance, 1, len(text)) + text.encode())
+
+
+def catalog(number, *workers):
+    entries = b"".join(struct.pack("<IBBHBfQ", w, 0, 0, 0, 1, 1.0, 0) for w in workers)
+    return record(1040, struct.pack("<HI", number, len(workers)) + entries)
+
+
+def membership(number, kind=1, instance=3):
+    return record(1010, struct.pack("<HBQH", instance, kind, 9, number))
+
+
+INGRESS = record(1080, struct.pack("<HQHIQQQffB", 3, 77, 0, 2, 5, 10**9, 4000, 2.0, 1.5, 1 | 2))
+RESPONSE = record(1110, struct.pack("<HQHIHQBIB3f", 3, 77, 1, 8, 4, 500, 1, 6, 3, 2.0, 1.0, 5.0))
+
+
+@pytest.mark.parametrize("wire, event", [
+    (INGRESS, it.Arrived(77, 0, 2, 5, 10**9, 4000, 2.0, 1.5, True, False)),
+    (record(1080, struct.pack("<HQHIQQQffB", 3, 77, 0, 2, 5, 9, 4000, 1.0, 0.0, 4)),
+     it.Arrived(77, 0, 2, 5, 9, 0, 1.0, 0.0, False, True)),
+    (RESPONSE, it.Answered(77, 1, 8, 4, 500, True, 6, it.Report(2.0, None, 1.0, 5.0, None))),
+    (record(1110, struct.pack("<HQHIHQBIB", 3, 77, 1, 8, 1, 500, 1, 0, 0)),
+     it.Answered(77, 1, 8, 1, 500, True, 0, None)),
+    (record(1020, struct.pack("<HIQHB1f", 3, 8, 500, 1, 1, 2.0)),
+     it.Probed(8, 500, 1, it.Report(2.0, None, None, None, None))),
+    (record(1060, struct.pack("<HQIHfB", 3, 77, 8, 1, 0.5, 2)), it.Noted(77, 1, 8, 2, 0.5)),
+    (record(1000, struct.pack("<HQHIQ", 3, 77, 1, 8, 4)), it.StreamBegan(77, 1, 8, 4)),
+    (record(1090, struct.pack("<HQ", 3, 77)), it.Left(77)),
+    (record(1070, struct.pack("<HI", 3, 2**32 - 1)), it.Rang(2**32 - 1)),
+    (record(1050, struct.pack("<HIH", 3, 1, 2) + b"hi"), it.Heard(1, b"hi")),
+    (membership(0, kind=4), it.Listed(4, 9, ())),
+])
+def test_events(wire, event):
+    reader = codec.Reader()
+    reader.decode(frame(spawn()))
+    assert reader.decode(frame(wire, now=5)) == (5, [(3, event)])
+
+
+def test_catalog_numbers_are_resolved_in_event_order():
+    events = codec.Reader().decode(frame(catalog(0, 1, 2), membership(0), catalog(0, 3), membership(0)))[1]
+    assert [[e.worker for e in event.entries] for _, event in events] == [[1, 2], [3]]
+
+
+@pytest.mark.parametrize("action, wire", [
+    (it.HandOff(77, 8, 9), record(1000, struct.pack("<HQQI", 3, 77, 9, 8))),
+    (it.Defer(77, 4), record(1010, struct.pack("<HQQ", 3, 77, 4))),
+    (it.WriteOff(77), record(1020, struct.pack("<HQ", 3, 77))),
+    (it.Cancel(77, 2), record(1030, struct.pack("<HQH", 3, 77, 2))),
+    (it.SetTimer(5, 6), record(1040, struct.pack("<HQI", 3, 5, 6))),
+    (it.Probe(8), record(1050, struct.pack("<HI", 3, 8))),
+    (it.CloseIdle(8), record(1060, struct.pack("<HI", 3, 8))),
+    (it.Tell(-1, b"hi"), record(1070, struct.pack("<HHH", 3, 65535, 2) + b"hi")),
+    (it.Log("two servers known"), bytes.fromhex("380415000000030011007477") + b"o servers known"),
+    (it.Subscribe(True), bytes.fromhex("4c0403000000030001")),
+    (it.Fetch(), bytes.fromhex("5604020000000300")),
+])
+def test_actions(action, wire):
+    assert codec.encode(3, action) == wire
+
+
+def run(monkeypatch, capsys, data):
+    class Pipe:
+        def __init__(self, data=b""):
+            self.buffer = io.BytesIO(data)
+    out = Pipe()
+    monkeypatch.setattr(program.sys, "stdin", Pipe(data))
+    monkeypatch.setattr(program.sys, "stdout", out)
+    return program.main(), out.buffer.getvalue(), capsys.readouterr().err
+
+
+@pytest.mark.parametrize("data, says", [
+    (frame()[:3], "length"),
+    (frame(INGRESS)[:-1], "inside a frame"),
+    (struct.pack("<IIQ", 16, 1, 0), "record's head"),
+    (frame(record(999)), "unknown record code 999"),
+    (frame(INGRESS[:-1]), "past the end"),
+    (frame(record(1090, b"\0" * 9)), "too short"),
+    (frame(record(1090, b"\0" * 11)), "against its size"),
+    (frame(record(1110, RESPONSE[6:-4])), "against its size"),
+    (frame(spawn(SETTINGS.replace("me=0\n", ""))), "required key me is missing"),
+    (frame(spawn(SETTINGS.replace("me=0", "me=first"))), "unusable value for me"),
+    (frame(membership(5)), "list 5 was never sent"),
+])
+def test_bad_input_stops_with_one_plain_line(monkeypatch, capsys, data, says):
+    status, _, err = run(monkeypatch, capsys, data)
+    assert status != 0 and err.count("\n") == 1 and says in err and "Traceback" not in err
+
+
+def test_empty_batch_and_end_of_input(monkeypatch, capsys):
+    assert run(monkeypatch, capsys, frame() * 2) == (0, bytes.fromhex("04000000") * 2, "")
+
+
+def test_an_exception_becomes_the_crash_action(monkeypatch):
+    def fail(self, now, events):
+        raise IndexError("out of range")
+    monkeypatch.setattr(host.Dispatcher, "handle", fail)
+    reply = host.Host().answer(frame(spawn(), catalog(0, 1), membership(0)))
+    text = b"IndexError: out of range"
+    assert reply[4:] == record(1090, struct.pack("<HH", 3, len(text)) + text)
+
+
+def test_stop_and_spawn_in_one_batch_forget_what_came_before():
+    h = host.Host()
+    h.answer(frame(spawn(), catalog(0, 1), membership(0)))
+    old = h.dispatchers[3]
+    h.answer(frame(INGRESS, record(1100, struct.pack("<H", 3)), spawn(), membership(0)))
+    assert h.dispatchers[3] is not old and not h.dispatchers[3].items
+
+
+def test_terms():
+    terms = read_terms(SETTINGS)
+    row = terms.categories[0]
+    assert (terms.area, terms.dispatchers, terms.pushed_list) == (1, 1, False)
+    assert (row.effect, row.group, row.stretch, row.kind) == (it.Effect.TICKETED, it.Group.AREA, 1.25, -1)
+    with pytest.raises(SettingsError, match="categories.0.effect"):
+        read_terms(SETTINGS.replace("dedup", "harmless"))
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,264 @@
+import pytest
+from conftest import CATEGORY, MS, TERMS, Driver, entry
+
+from heronwinch import interface as it
+from heronwinch.interface import Effect, Group, Outcome
+
+OPEN_AFTER = 2500  # milliseconds: new workers have had their first epoch
+
+
+def report(free, waiting=0.0, held=None, slots=2):
+    return it.Report(free, None, waiting, slots - free if held is None else held, None)
+
+
+@pytest.mark.parametrize("effect, group, outcome, goes_again, final", [
+    (Effect.RERUNNABLE, Group.ALL, Outcome.ERROR, True, []),
+    (Effect.RERUNNABLE, Group.ALL, Outcome.FULL, True, []),
+    (Effect.TICKETED, Group.ALL, Outcome.ERROR, True, []),
+    (Effect.TICKETED, Group.ALL, Outcome.RESET, True, []),
+    (Effect.TICKETED, Group.POD, Outcome.TIMEOUT, True, ["WriteOff"]),
+    (Effect.TICKETED, Group.POD, Outcome.CONNECT_FAILED, True, []),
+    (Effect.TICKETED, Group.AREA, Outcome.ERROR, True, ["WriteOff"]),
+    (Effect.EXCLUSIVE, Group.ALL, Outcome.ERROR, False, ["WriteOff"]),
+    (Effect.EXCLUSIVE, Group.ALL, Outcome.RESET, False, ["WriteOff"]),
+    (Effect.EXCLUSIVE, Group.ALL, Outcome.TIMEOUT, False, ["WriteOff"]),
+    (Effect.EXCLUSIVE, Group.ALL, Outcome.FULL, True, []),
+    (Effect.EXCLUSIVE, Group.ALL, Outcome.CONNECT_FAILED, True, []),
+])
+def test_outcome_against_effect(drive, effect, group, outcome, goes_again, final):
+    d = drive(effect, group, workers=(entry(1, area=0, pod=0), entry(2, area=1, pod=1)),
+              category={"late_credit": 0.5})
+    d.arrive(1, after=OPEN_AFTER)
+    (first,) = d.sent(1)
+    d.answer(1, 0, first, outcome, after=10)
+    d.do(after=4900)
+    assert (len(d.sent(1)) > 1) == goes_again
+    if not goes_again:
+        assert d.final(1) == final
+    elif group != Group.ALL and outcome != Outcome.CONNECT_FAILED:
+        assert set(d.sent(1)) == {first}  # it may have run, so only its group may have it
+    else:
+        assert d.sent(1)[1] != first  # any worker may have it
+
+
+@pytest.mark.parametrize("after, sends", [(100, 2), (4990, 2), (5010, 1)])
+def test_ticketed_goes_again_only_in_its_window(drive, after, sends):
+    d = drive(Effect.TICKETED, Group.ALL, category={"expiry": 20_000 * MS, "late_credit": 0.5})
+    d.arrive(1, after=OPEN_AFTER)
+    d.answer(1, 0, d.sent(1)[0], Outcome.ERROR, after=after)
+    assert len(d.sent(1)) == sends
+    assert d.final(1) == ([] if sends == 2 else ["WriteOff"])
+
+
+@pytest.mark.parametrize("standing", [it.Standing.DRAINING, it.Standing.GONE])
+@pytest.mark.parametrize("whole", [False, True])
+def test_leaving_workers_get_nothing_from_the_moment_of_being_told(drive, standing, whole):
+    d = drive()
+    if whole:
+        d.do(it.Listed(it.ListKind.FULL, 2, (entry(2),)), after=OPEN_AFTER)
+    else:
+        d.do(it.Listed(it.ListKind.DELTA, 2, (entry(1, standing=standing),)), after=OPEN_AFTER)
+    for wi in range(20):
+        d.arrive(wi, after=1)
+    assert {worker for wi in range(20) for worker in d.sent(wi)} == {2}
+
+
+def test_one_hand_off_out_and_the_limit_kept(drive):
+    d = drive(most_hand_offs=2, category={"late_credit": 0.5})
+    d.arrive(1, after=OPEN_AFTER)
+    assert len(d.sent(1)) == 1
+    d.answer(1, 0, d.sent(1)[0], Outcome.FULL, after=1)
+    d.do(after=1500)
+    assert len(d.sent(1)) == 2
+    d.answer(1, 1, d.sent(1)[1], Outcome.FULL, after=1)
+    assert len(d.sent(1)) == 2 and d.final(1) == ["Defer"]
+
+
+def test_time_out_at_the_expiry_is_answered_in_the_same_batch(drive):
+    d = drive(Effect.EXCLUSIVE)
+    d.arrive(1, after=OPEN_AFTER)
+    assert [type(a) for a in d.answer(1, 0, d.sent(1)[0], Outcome.TIMEOUT, after=5000)] == [it.WriteOff]
+
+
+def test_a_client_that_left_is_owed_nothing_and_late_outcomes_only_teach(drive):
+    d = drive()
+    d.arrive(1, after=OPEN_AFTER)
+    d.do(it.Left(1), after=10)
+    assert d.answer(1, 0, d.sent(1)[0], Outcome.ERROR, after=10) == []
+    assert d.final(1) == [] and len(d.sent(1)) == 1
+
+
+def test_no_worker_at_all_is_answered_before_the_due_time_has_long_passed(drive):
+    d = drive(workers=())
+    d.arrive(1)
+    d.do(after=310)
+    assert d.final(1) == ["Defer"]
+    assert d.do(after=10_000) == []
+
+
+@pytest.mark.parametrize("effect, outcome, final", [
+    (Effect.RERUNNABLE, Outcome.ERROR, "Defer"),
+    (Effect.TICKETED, Outcome.ERROR, "Defer"),
+    (Effect.EXCLUSIVE, Outcome.FULL, "Defer"),
+    (Effect.EXCLUSIVE, Outcome.ERROR, "WriteOff"),
+])
+def test_past_its_due_time_it_is_answered_at_once(drive, effect, outcome, final):
+    d = drive(effect)
+    d.arrive(1, after=OPEN_AFTER)
+    d.answer(1, 0, d.sent(1)[0], outcome, after=400)
+    assert d.final(1) == [final]
+
+
+def test_a_retry_has_the_due_time_of_its_first_try(drive):
+    d = drive()
+    d.arrive(1, after=OPEN_AFTER, left=4600)  # 400 ms of its 5 s are gone, its due time was at 300
+    assert d.final(1) == ["Defer"] and d.sent(1) == []
+
+
+def test_epochs_open_and_close(drive):
+    d = drive(workers=(entry(1),), category={"due_time": 3000 * MS})
+    d.arrive(1, after=10)
+    assert d.sent(1) == []  # a new worker starts closed
+    d.do(after=1000)
+    assert d.sent(1) == [1]  # its first epoch came within T, 1 s at the start
+    d.answer(1, 0, 1, after=10)
+    d.arrive(2, after=3000)
+    d.answer(2, 0, 1, elapsed=100, after=100)
+    T = d.dispatcher.T
+    assert T > 101 * MS
+    worker = d.dispatcher.workers[1]
+    d.do(after=T / MS - 101)
+    assert d.dispatcher._open_slots(worker) == 0  # answered, but its rounded time has not passed
+    d.do(after=2)
+    assert d.dispatcher._open_slots(worker) == 1
+
+
+@pytest.mark.parametrize("free, waiting, opens", [(2.0, 0.0, True), (0.97, 0.03, True), (0.0, 0.0, False),
+                                                  (1.0, 1.0, False)])
+def test_a_report_short_of_slots_keeps_a_worker_closed(drive, free, waiting, opens):
+    d = drive(workers=(entry(1),), category={"due_time": 1200 * MS})
+    d.arrive(1, after=OPEN_AFTER)
+    d.answer(1, 0, 1, elapsed=400, after=400)
+    d.do(after=1000)
+    d.dispatcher._hear(d.dispatcher.workers[1], report(free, waiting, held=2 - free + waiting))
+    assert (d.dispatcher._open_slots(d.dispatcher.workers[1]) > 0) == opens
+
+
+def test_each_slot_is_one_server(drive):
+    d = drive(workers=(entry(1),))
+    d.dispatcher.workers[1].slots = 3
+    for wi in range(4):
+        d.arrive(wi, after=OPEN_AFTER if wi == 0 else 1)
+    assert [len(d.sent(wi)) for wi in range(4)] == [1, 1, 1, 0]
+
+
+def test_failures_in_a_row_keep_a_worker_closed_twice_as_long_each(drive):
+    d = drive(workers=(entry(1),))
+    worker = d.dispatcher.workers[1]
+    shut = []
+    for _ in range(3):
+        d.dispatcher._failed(worker)
+        shut.append(worker.shut_until - d.now)
+    assert shut == [d.dispatcher.T, 2 * d.dispatcher.T, 4 * d.dispatcher.T]
+    d.arrive(1, after=8000)
+    d.answer(1, 0, 1)
+    assert worker.fails == 0 and worker.shut_until == 0
+
+
+def test_late_reports_are_set_aside_until_eight_agree(drive):
+    d = drive(workers=(entry(1),))
+    worker = d.dispatcher.workers[1]
+    worker.slots = 2
+    d.arrive(1, after=OPEN_AFTER)
+    d.do(after=900)
+    d.dispatcher._hear(worker, report(2.0, held=0))  # it must hold at least the one sent long ago
+    assert d.dispatcher.doubt and not d.dispatcher._is_fresh(worker)
+    for _ in range(8):
+        d.dispatcher._hear(worker, report(1.0, held=1))
+    assert d.dispatcher._is_fresh(worker)
+
+
+def test_an_open_worker_is_asked_first_where_others_send_too(drive):
+    d = drive(workers=(entry(1),), dispatchers=2, may_probe=True)
+    assert d.arrive(1, after=OPEN_AFTER) == [it.Probe(1)]
+    assert d.do(it.Probed(1, MS, Outcome.OK, report(2.0)), after=2) == [it.HandOff(1, 1, 0)]
+
+
+def test_silence_to_the_question_leaves_time_for_another_worker(drive):
+    d = drive(dispatchers=2, may_probe=True, category={"due_time": 1000 * MS})
+    (probe,) = d.arrive(1, after=OPEN_AFTER)
+    d.do(after=600)
+    asked = [a.worker for a in d.all if type(a) is it.Probe]
+    assert asked == [probe.worker, 3 - probe.worker]
+    assert d.dispatcher.workers[probe.worker].fails == 1
+
+
+def test_a_cold_worker_gets_this_dispatchers_part_at_most(drive):
+    d = drive(workers=(), dispatchers=2, category={"due_time": 5000 * MS, "late_credit": 0.5})
+    d.do(it.Listed(it.ListKind.DELTA, 2, (entry(1, started_at=d.now),)), after=1)
+    d.dispatcher.workers[1].slots = 8
+    d.dispatcher.run = d.dispatcher.rows[0].run = 400 * MS
+    for wi in range(100):
+        d.arrive(wi, after=10)
+    age = 1001 / 24_000
+    budget = 4.0 * (0.12 + 0.88 * age) * 8 * 2000 / 2
+    assert 0 < sum(len(d.sent(wi)) for wi in range(100)) * 400 <= budget
+
+
+def test_areas_that_cost_to_cross_come_second(drive):
+    d = drive(workers=[entry(w, area=w % 2) for w in range(1, 9)], area_price=0.1)
+    for wi in range(8):
+        d.arrive(wi, after=OPEN_AFTER if wi == 0 else 1)
+    assert [d.sent(wi)[0] % 2 for wi in range(8)] == [0] * 4 + [1] * 4
+
+
+def test_dispatchers_tell_each_other(drive):
+    one, two = (drive(workers=(entry(1),), dispatchers=2, may_tell=True, me=me) for me in (0, 1))
+    for d in (one, two):
+        d.dispatcher.workers[1].slots = 1
+        d.do(it.Heard(1 - d.terms.me, b"\x01"), after=OPEN_AFTER)
+    tale = [a for a in one.arrive(1) if type(a) is it.Tell]
+    two.do(it.Heard(0, tale[0].body))
+    two.arrive(2)
+    assert two.sent(2) == []  # the one slot is another's
+    tale = [a for a in one.answer(1, 0, 1, after=50) if type(a) is it.Tell]
+    two.do(it.Heard(0, tale[0].body), after=50)
+    assert two.sent(2) == [1]
+
+
+def test_discovery_is_asked_at_the_start_and_again_after_failures(drive):
+    d = drive(pushed_list=False)
+    assert d.all == [it.Subscribe(True)]
+    asked = []
+    for _ in range(3):
+        d.do(it.Listed(it.ListKind.FAILED, 0, ()))
+        before = d.now
+        while not d.do(after=1):
+            assert d.now - before < 10_000 * MS
+            if sum(type(a) is it.Subscribe for a in d.all) > len(asked) + 1:
+                break
+        asked.append(d.now - before)
+    assert asked[0] < asked[2]
+
+
+def test_same_events_same_actions():
+    def run(seed):
+        d = Driver(TERMS, seed, [entry(w) for w in range(1, 9)])
+        for wi in range(40):
+            d.arrive(wi, after=OPEN_AFTER if wi == 0 else 17)
+            if wi > 3 and d.sent(wi - 3):
+                d.answer(wi - 3, 0, d.sent(wi - 3)[0], elapsed=51)
+        return d.all
+    assert run(5) == run(5)
+    assert run(5) != run(6)
+
+
+def test_waiting_work_is_given_its_turn_newest_first(drive):
+    d = drive(workers=(entry(1),), category={"due_time": 2000 * MS})
+    d.dispatcher.workers[1].slots = 1
+    for wi in (1, 2, 3):
+        d.arrive(wi, after=OPEN_AFTER if wi == 1 else 5)
+    d.answer(1, 0, 1, elapsed=100, after=90)
+    d.do(after=20)
+    assert d.sent(3) == [1] and d.sent(2) == []
+    assert CATEGORY.late_credit == 0.0
