--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -96,8 +96,8 @@
         self.direct = direct  # to an open worker: its time is running time, without waiting
 
     def keeps_closed(self, now, T):
-        """Up to the first of the epochs, T apart from the hand-off on, that finds it answered."""
-        return not self.answered or self.sent + T * ceil(self.elapsed / T) > now
+        """Once answered: up to the next of the epochs, T apart from the hand-off on."""
+        return self.sent + T * ceil(self.elapsed / T) > now
 
 
 class WorkItem:
@@ -127,14 +127,17 @@
 
 class Worker:
     __slots__ = (
-        "id", "area", "kind", "pod", "standing", "started_at", "slots", "closed", "out", "shut_until",
+        "id", "area", "kind", "pod", "standing", "started_at", "slots", "out", "busy", "since", "loose", "shut_until",
         "fails", "free", "waiting", "heard", "probing", "askers", "pushed",
     )
 
     def __init__(self, entry, epoch):
         self.id = entry.worker
         self.slots = 0  # the most it has shown, 0 before its first report
-        self.out = 0  # own hand-offs
+        self.out = []  # own hand-offs
+        self.busy = 0  # the slots they ask
+        self.since = 0  # the slots asked by those sent since its last report
+        self.loose = []  # own hand-offs answered, but not yet past the epoch that opens their slots
         self.fails = 0  # in a row
         self.probing = False
         self.askers = []  # work items that asked for its busy alert
@@ -148,7 +151,6 @@
 
     def restart(self, epoch):
         """A new worker starts closed, up to its first epoch."""
-        self.closed = []  # hand-offs that keep slots closed
         self.shut_until = epoch
         self.free = None  # its last report
         self.waiting = 0.0
@@ -171,6 +173,7 @@
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = []  # work items that wait for an open worker
         self.beating = False
+        self.stirred = False  # something came that may have opened a worker
         self.doubt = 0  # reports are held to be late until so many agree with own record
         self.now = 0
         self.actions = []
@@ -195,6 +198,7 @@
             reaction = self.reactions.get(type(event))
             if reaction is not None:
                 reaction(event)
+            self.stirred = self.stirred or type(event) is not Arrived
         self._serve()
         if self.terms.may_tell and self.untold:
             self._tell()
@@ -206,7 +210,7 @@
         told = [w for w in self.workers.values() if w.out] if whole else list(self.untold.values())
         self.untold = {}
         for at in range(0, max(1, len(told)), 50):
-            body = b"".join(TOLD.pack(w.id, min(255, w.out)) for w in told[at:at + 50])
+            body = b"".join(TOLD.pack(w.id, min(255, int(w.busy))) for w in told[at:at + 50])
             self.actions.append(Tell(-1, bytes([whole and at == 0]) + body))
         if whole or not self.tale_due:
             # Messages get lost: a whole tale every second mends what the changes missed.
@@ -330,7 +334,7 @@
 
     def _serve(self):
         """Give what waits its turn; what can no longer earn anything is answered."""
-        if self.queue:
+        if self.queue and self.stirred and any(self._open_slots(worker) > 0 for worker in self.usable):
             for wi in sorted(self.queue, key=self._value, reverse=True):
                 worker = self._random_open(wi)
                 if worker is not None:
@@ -338,6 +342,7 @@
                     self._advance(wi, worker)
                 elif not any(self._open_slots(worker) > 0 for worker in self.usable):
                     break
+        self.stirred = False
         if self.queue and not self.beating:
             # One look for each slot likely to come free somewhere.
             self.beating = True
@@ -374,8 +379,9 @@
         ho = Out(wi, len(wi.hos), worker, now, self._open_slots(worker) > 0)
         wi.hos.append(ho)
         wi.out += 1
-        worker.out += 1
-        worker.closed.append(ho)
+        worker.out.append(ho)
+        worker.busy += wi.slots
+        worker.since += wi.slots
         self.untold[worker.id] = worker
         if self._is_cold(worker):
             worker.pushed.append((now, self._work(wi)))
@@ -496,8 +502,8 @@
         best, choices, weights = -1, [], []
         crossing = self.terms.area_price > 0
         for worker in self.usable:
-            slots = self._open_slots(worker)
-            if slots > 0 and (worker.slots or 1) - worker.out >= wi.slots and self._allowed(worker, wi):
+            slots = self._open_slots(worker, wi.slots)
+            if slots > 0 and self._allowed(worker, wi):
                 rank = 2 * (slots >= MOST) + (crossing and worker.area == self.terms.area)
                 if rank > best:
                     best, choices, weights = rank, [], []
@@ -506,26 +512,32 @@
                     weights.append(slots)
         return self.random.choices(choices, weights)[0] if choices else None
 
-    def _open_slots(self, worker):
-        """How many of a worker's slots are open: by own record at their epochs, no more than it reports."""
+    def _open_slots(self, worker, asked=1):
+        """How many of a worker's slots are open, 0 if fewer than asked: by own record at their epochs, and no
+        more than it reports or the others tell."""
         now = self.now
-        T = self.terms.tick if self.queue else self.T
-        worker.closed = closed = [ho for ho in worker.closed if ho.keeps_closed(now, T)]
         if worker.shut_until > now:
             return 0
+        if worker.loose:
+            T = self.terms.tick if self.queue else self.T
+            worker.loose = [ho for ho in worker.loose if ho.keeps_closed(now, T)]
         slots = worker.slots or 1
-        taken = sum(ho.wi.slots for ho in closed) + len(worker.askers)
+        taken = worker.busy + len(worker.askers)
+        for ho in worker.loose:
+            taken += ho.wi.slots
         own = slots - taken
-        others = self._others(worker)
-        if others is not None and own > 0:
-            return max(0, own - others)
-        if own <= 0 or worker.free is None or not self._is_fresh(worker):
+        if own < asked and (taken or worker.slots):
+            return 0
+        if self.tales:
+            others = self._others(worker)
+            if others is not None:
+                return own - others if own - others >= asked else 0
+        if worker.free is None or not self._is_fresh(worker):
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
             part = max(1, slots / self.terms.dispatchers)
             return part - taken if taken < part else min(own, MOST / (1 + taken))
-        free = worker.free - sum(ho.wi.slots for ho in closed if ho.sent >= worker.heard)
-        free -= len(worker.askers)
-        if free >= max(1, worker.slots / 4) and worker.waiting < 1:
+        free = worker.free - worker.since - len(worker.askers)
+        if free >= max(asked, slots / 4) and worker.waiting < 1:
             return min(own, free)
         # A report that says 'busy' would hold for ever where this dispatcher alone sends no more: at epochs
         # T apart the worker is asked again.
@@ -555,8 +567,7 @@
             return NEVER
         if worker.free is None or not self._is_fresh(worker) or self._others(worker) is not None:
             return NEVER  # blind; or the others tell of a freed slot at once, so waiting here loses nothing
-        since = sum(ho.wi.slots for ho in worker.closed if ho.sent >= worker.heard)
-        held = worker.slots - worker.free + worker.waiting + since + len(worker.askers)
+        held = worker.slots - worker.free + worker.waiting + worker.since + len(worker.askers)
         return max(0, held + 1 - worker.slots) * self.run / worker.slots
 
     def _after_alert(self, worker, wi):
@@ -613,7 +624,9 @@
 
     def _learn(self, ho, event):
         worker, wi = ho.worker, ho.wi
-        worker.out -= 1
+        worker.out.remove(ho)
+        worker.loose.append(ho)
+        worker.busy -= wi.slots
         self.untold[worker.id] = worker
         self._hear(worker, event.report)
         x = event.elapsed
@@ -639,15 +652,14 @@
         if report.held is not None:
             # Late reports, told by own record: one that holds fewer than have long been out there from here
             # alone is late. One that agrees may do so by luck, so it takes a run of them to believe again.
-            long_out = sum(not ho.answered and (self.now - ho.sent) * 8 > (self.run or self.T)
-                           for ho in worker.closed)
+            long_out = sum((self.now - ho.sent) * 8 > (self.run or self.T) for ho in worker.out)
             if round(report.held) < long_out:
                 self.doubt = AGREEING
             elif long_out and self.doubt:
                 self.doubt -= 1
         # Reports are a little noisy: taken as they come, a worker with its one slot free would read 0.97 and
         # stay closed.
-        worker.free, worker.heard = round(report.free_slots), self.now
+        worker.free, worker.heard, worker.since = round(report.free_slots), self.now, 0
         worker.waiting = round(report.waiting or 0)
         running = max(0, round(report.held or 0) - worker.waiting)
         worker.slots = max(worker.slots, worker.free + running if worker.free else 0)
