--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -127,8 +127,8 @@
 
 class Worker:
     __slots__ = (
-        "id", "area", "kind", "pod", "standing", "started_at", "slots", "out", "busy", "since", "loose", "shut_until",
-        "fails", "free", "waiting", "heard", "probing", "askers", "pushed",
+        "id", "area", "kind", "pod", "standing", "started_at", "slots", "out", "busy", "since", "loose",
+        "memory", "shut_until", "fails", "free", "waiting", "heard", "probing", "askers", "pushed",
     )
 
     def __init__(self, entry, epoch):
@@ -136,6 +136,7 @@
         self.slots = 0  # the most it has shown, 0 before its first report
         self.out = []  # own hand-offs
         self.busy = 0  # the slots they ask
+        self.memory = 0.0  # the memory they ask
         self.since = 0  # the slots asked by those sent since its last report
         self.loose = []  # own hand-offs answered, but not yet past the epoch that opens their slots
         self.fails = 0  # in a row
@@ -173,6 +174,7 @@
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = []  # work items that wait for an open worker
         self.beating = False
+        self.memory = 0.0  # mean memory a slot asked
         self.stirred = False  # something came that may have opened a worker
         self.doubt = 0  # reports are held to be late until so many agree with own record
         self.now = 0
@@ -382,6 +384,7 @@
         worker.out.append(ho)
         worker.busy += wi.slots
         worker.since += wi.slots
+        worker.memory += wi.memory
         self.untold[worker.id] = worker
         if self._is_cold(worker):
             worker.pushed.append((now, self._work(wi)))
@@ -396,6 +399,7 @@
 
     def _arrived(self, event):
         wi = WorkItem(event, self.rows[event.category], self.now)
+        self.memory += (wi.memory / wi.slots - self.memory) / 32
         self.items[wi.id] = wi
         wi.course = self._course(wi)
         self._advance(wi)
@@ -592,8 +596,18 @@
                 return False
             if row.group == Group.POD and worker.pod != anchor.worker.pod:
                 return False
+        if wi.memory > 0 and worker.slots and not self._has_memory(worker, wi):
+            return False
         return not self._is_cold(worker) or self._cold_may_take(worker, wi)
 
+    def _has_memory(self, worker, wi):
+        """A worker has one unit of memory a slot; what others' work takes there is taken to be the mean."""
+        others = self._others(worker)
+        if others is None:
+            held = worker.slots - worker.free + worker.since if worker.free is not None else 0
+            others = max(0, held - worker.busy) if self._is_fresh(worker) else 0
+        return wi.memory <= worker.slots - worker.memory - others * self.memory
+
     # ---- cold workers
 
     def _is_cold(self, worker):
@@ -627,6 +641,7 @@
         worker.out.remove(ho)
         worker.loose.append(ho)
         worker.busy -= wi.slots
+        worker.memory -= wi.memory
         self.untold[worker.id] = worker
         self._hear(worker, event.report)
         x = event.elapsed
