--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -103,7 +103,7 @@
 class WorkItem:
     __slots__ = (
         "id", "row", "account", "slots", "memory", "expiry", "due", "course", "hos", "out", "anchor", "ended",
-        "waits", "token", "asks", "turned_away", "rests_until",
+        "waits", "token", "asks",
     )
 
     def __init__(self, event, row, now):
@@ -123,8 +123,6 @@
         self.waits = None  # while no hand-off is out: WAIT, or the worker asked
         self.token = 0  # its newest timer
         self.asks = 0
-        self.turned_away = 0
-        self.rests_until = 0
 
 
 class Worker:
@@ -245,7 +243,7 @@
     def _course(self, wi):
         """A work item from top to bottom; its value is the final answer, None where that has been given."""
         while self._start_by(wi) > self.now:
-            worker = None if wi.rests_until > self.now else self._random_open(wi) or self._random_any(wi)
+            worker = self._random_open(wi) or self._random_any(wi)
             while worker is not None and self._should_ask(worker, wi):
                 worker = yield Ask(worker)
             if worker is None:
@@ -258,8 +256,6 @@
                 return None
             if not self._may_go_again(wi):
                 break
-            if answer.outcome == Outcome.FULL:
-                self._rest(wi)
         return self._giving_up(wi)
 
     def _should_ask(self, worker, wi):
@@ -281,17 +277,6 @@
         late = self.now > wi.due
         return (row.late_credit if late else 1.0) * row.credit / (row.run or 1.0), -wi.due if late else wi.due
 
-    def _rest(self, wi):
-        """Turned away twice, the fleet is likely full: leave a worker time to free a slot, the longer the more
-        often. Without this the hand-offs of a work item are gone in milliseconds, and its client is back at
-        once."""
-        wi.turned_away += 1
-        slots = self._total_slots() / max(1, len(self.usable))
-        wi.rests_until = self.now + int((wi.turned_away - 1) * (self.run or self.T) / slots)
-
-    def _total_slots(self):
-        return sum(worker.slots or 1 for worker in self.usable) or 1
-
     def _may_go_again(self, wi):
         if len(wi.hos) >= self.terms.most_hand_offs or self.now >= wi.expiry:
             return False
@@ -353,8 +338,6 @@
         """Give what waits its turn; what can no longer earn anything is answered."""
         if self.queue and self.stirred and any(self._open_slots(worker) > 0 for worker in self.usable):
             for wi in sorted(self.queue, key=self._value, reverse=True):
-                if wi.rests_until > self.now:
-                    continue
                 worker = self._random_open(wi)
                 if worker is not None:
                     self.queue.remove(wi)
@@ -365,8 +348,8 @@
         if self.queue and not self.beating:
             # One look for each slot likely to come free somewhere.
             self.beating = True
-            pace = int((self.run or self.T) / self._total_slots())
-            self.actions.append(SetTimer(max(2 * self.terms.tick, pace), BEAT))
+            slots = sum(worker.slots or 1 for worker in self.usable) or 1
+            self.actions.append(SetTimer(max(2 * self.terms.tick, int((self.run or self.T) / slots)), BEAT))
 
     def _beat(self):
         """Ask the closed worker not heard of for longest."""
@@ -700,7 +683,7 @@
         """T keeps own load x T/(1-e^-T) under 1, in mean running times, and is two of them when quiet."""
         if not self.run or not self.gap or not self.usable:
             return
-        load = self.run / self.gap / self._total_slots()
+        load = self.run / self.gap / sum(worker.slots or 1 for worker in self.usable)
         low, high = 0.0, 2.0
         if load * high / (1 - exp(-high)) >= 1:
             for _ in range(12):
