Believe late reports again only after 24 that agree with own record

With two dispatchers a late report agrees by luck, as the other one's work covers for what it lacks: trust came back while reports were still seconds late.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -49,7 +49,7 @@
 
 
 NEVER = float("inf")
-AGREEING = 8  # a late report agrees with own record three times in four at most, eight in a row one in ten
+AGREEING = 24  # a late report agrees nine times in ten at worst: so many in a row are one chance in ten
 
 
 class Ask:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,6 +3,7 @@
 
 from heronwinch import interface as it
 from heronwinch.interface import Effect, Group, Outcome
+from heronwinch.policy import AGREEING
 
 OPEN_AFTER = 2500  # milliseconds: new workers have had their first epoch
 
@@ -165,7 +166,7 @@
     assert worker.fails == 0 and worker.shut_until == 0
 
 
-def test_late_reports_are_set_aside_until_eight_agree(drive):
+def test_late_reports_are_set_aside_until_enough_agree(drive):
     d = drive(workers=(entry(1),))
     worker = d.dispatcher.workers[1]
     worker.slots = 2
@@ -173,7 +174,7 @@
     d.do(after=900)
     d.dispatcher._hear(worker, report(2.0, held=0))  # it must hold at least the one sent long ago
     assert d.dispatcher.doubt and not d.dispatcher._is_fresh(worker)
-    for _ in range(8):
+    for _ in range(AGREEING):
         d.dispatcher._hear(worker, report(1.0, held=1))
     assert d.dispatcher._is_fresh(worker)
 
