--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -259,15 +259,11 @@
         return self._giving_up(wi)
 
     def _should_ask(self, worker, wi):
-        """With others sending too, a worker is asked for its busy alert before it counts as open. One that
-        failed is asked before it is sent to again: a dead one would cost the connect time-out."""
+        """With others sending too, a worker is asked for its busy alert before it counts as open."""
         terms = self.terms
-        fresh = self.now - worker.heard <= 2 * terms.tick
-        if not terms.may_probe or fresh or wi.asks >= terms.most_hand_offs:
-            return False
-        if worker.fails:
-            return True
-        return terms.dispatchers > 1 and not self.doubt and self._others(worker) is None
+        return (terms.may_probe and terms.dispatchers > 1 and wi.asks < terms.most_hand_offs
+                and self.now - worker.heard > 2 * terms.tick and not self.doubt
+                and self._others(worker) is None)
 
     def _start_by(self, wi):
         """The last moment at which a hand-off is likely to earn credit."""
