Wait for a worker of this area while that costs less than crossing

A work item crossed areas the moment its own had none open, though a slot there comes free within some 30 ms, less than a crossing takes. It now stays for price x slack, the wait that loses as much of its chance as the crossing costs.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -102,7 +102,8 @@
 
 class WorkItem:
     __slots__ = (
-        "id", "row", "account", "slots", "memory", "expiry", "due", "course", "hos", "out", "anchor", "ended",
+        "id", "row", "account", "slots", "memory", "came", "expiry", "due", "course", "hos", "out", "anchor",
+        "ended",
         "waits", "token", "asks",
     )
 
@@ -112,6 +113,7 @@
         self.account = event.account
         self.slots = max(1.0, event.slots)
         self.memory = event.memory
+        self.came = now
         self.expiry = now + event.time_left
         # Due time counts from the client's first try: a later one has less time left of the same expiry.
         self.due = self.expiry - row.expiry + row.due_time
@@ -501,11 +503,16 @@
     def _random_open(self, wi):
         """A random worker among those open, each slot counting as one of the paper's servers.
 
-        Where crossing areas has a price, those of this area come first.
+        Where crossing areas has a price, those of this area come first, and a work item waits for one of
+        them as long as the chance to be in time that it loses by waiting is worth less than the price.
         """
         best, choices, weights = -1, [], []
         crossing = self.terms.area_price > 0
+        slack = wi.row.due_time + (wi.row.stretch - 1) * wi.row.run
+        stays = crossing and self.now - wi.came < self.terms.area_price * slack
         for worker in self.usable:
+            if stays and worker.area != self.terms.area:
+                continue
             slots = self._open_slots(worker, wi.slots)
             if slots > 0 and self._allowed(worker, wi):
                 rank = 2 * (slots >= MOST) + (crossing and worker.area == self.terms.area)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -210,6 +210,8 @@
     d = drive(workers=[entry(w, area=w % 2) for w in range(1, 9)], area_price=0.1)
     for wi in range(8):
         d.arrive(wi, after=OPEN_AFTER if wi == 0 else 1)
+    assert [d.sent(wi) != [] for wi in range(8)] == [True] * 4 + [False] * 4
+    d.do(after=40)  # a tenth of what it may wait to be in time
     assert [d.sent(wi)[0] % 2 for wi in range(8)] == [0] * 4 + [1] * 4
 
 
