--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -551,9 +551,10 @@
         free = worker.free - worker.since - len(worker.askers)
         if free >= max(asked, slots / 4) and worker.waiting < 1:
             return min(own, free)
-        # A report that says 'busy' would hold for ever where this dispatcher alone sends no more: at epochs
-        # T apart the worker is asked again.
-        if now - worker.heard >= self.T and not worker.probing and self.terms.may_probe:
+        # A report that says 'busy' would hold for ever where this dispatcher sends no more: the worker is
+        # asked again at an epoch, but not before a slot there has likely come free. Under overload T is a
+        # tick, and asking every worker each tick cost seven points on a fleet of 41.
+        if now - worker.heard >= max(self.T, self.run / slots) and not worker.probing and self.terms.may_probe:
             self._probe(worker)
         return 0
 
