--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -16,6 +16,7 @@
     SECOND,
     Answered,
     Arrived,
+    Cancel,
     Defer,
     Effect,
     Group,
@@ -84,7 +85,7 @@
 class Out:
     """One hand-off."""
 
-    __slots__ = ("wi", "number", "worker", "sent", "answered", "elapsed", "direct")
+    __slots__ = ("wi", "number", "worker", "sent", "answered", "elapsed", "direct", "noted")
 
     def __init__(self, wi, number, worker, sent, direct):
         self.wi = wi
@@ -93,6 +94,7 @@
         self.sent = sent
         self.answered = False
         self.elapsed = 0  # once answered
+        self.noted = sent  # its last sign of life
         self.direct = direct  # to an open worker: its time is running time, without waiting
 
     def keeps_closed(self, now, T):
@@ -321,10 +323,7 @@
     def _guard(self, wi, what, after):
         """A work item with no hand-off out has a timer: nothing it waits for may outlast its chance."""
         wi.waits = what
-        self.token = self.token + 1 if self.token < 2**32 - 1 else OWN
-        wi.token = self.token
-        self.timers[wi.token] = wi
-        self.actions.append(SetTimer(max(1, after), wi.token))
+        wi.token = self._timer(wi, after)
 
     def _overdue(self, wi):
         what, wi.waits = wi.waits, None
@@ -397,6 +396,26 @@
             self._learn_T()
         self.last_sent = now
         self.actions.append(HandOff(wi.id, worker.id, 0))
+        if self.terms.progress_every:
+            self._watch(ho)
+
+    def _watch(self, ho):
+        """A running work item gives a note every so often: two missed, the worker is held to be standing
+        still. Guards against workers that take work and answer nothing."""
+        silence = ho.noted + 2 * self.terms.progress_every + self.ask_time - self.now
+        if silence > 0:
+            self._timer(ho, silence)
+            return
+        self._failed(ho.worker)
+        wi = ho.wi
+        if self.terms.may_cancel and not wi.ended and wi.row.effect != Effect.EXCLUSIVE:
+            self.actions.append(Cancel(wi.id, ho.number))
+
+    def _timer(self, what, after):
+        self.token = self.token + 1 if self.token < 2**32 - 1 else OWN
+        self.timers[self.token] = what
+        self.actions.append(SetTimer(max(1, after), self.token))
+        return self.token
 
     # ---- events
 
@@ -440,11 +459,16 @@
             self._tell(whole=True)
         else:
             wi = self.timers.pop(event.token)
-            if wi.token == event.token and wi.waits is not None:
+            if type(wi) is Out:
+                if not wi.answered:
+                    self._watch(wi)
+            elif wi.token == event.token and wi.waits is not None:
                 self._overdue(wi)
 
     def _noted(self, event):
-        pass
+        wi = self.items.get(event.wi)
+        if wi is not None and event.ho < len(wi.hos):
+            wi.hos[event.ho].noted = self.now
 
     def _probed(self, event):
         worker = self.workers.get(event.worker)
@@ -537,6 +561,8 @@
         taken = worker.busy + len(worker.askers)
         for ho in worker.loose:
             taken += ho.wi.slots
+        if worker.fails and taken:
+            return 0  # after a failure one work item at a time, until one is answered
         own = slots - taken
         if own < asked and (taken or worker.slots):
             return 0
