--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -497,7 +497,10 @@
             named.add(entry.worker)
             worker = self.workers.get(entry.worker)
             if worker is None:
-                self.workers[entry.worker] = Worker(entry, self.now + int(self.T * self.random.random()))
+                worker = self.workers[entry.worker] = Worker(
+                    entry, self.now + int(self.T * self.random.random()))
+                if self.terms.may_probe and entry.standing == Standing.READY:
+                    self._probe(worker)  # how many slots it has is known before its first epoch
             else:
                 if entry.started_at != worker.started_at:
                     worker.restart(self.now + int(self.T * self.random.random()))
@@ -561,8 +564,6 @@
         taken = worker.busy + len(worker.askers)
         for ho in worker.loose:
             taken += ho.wi.slots
-        if worker.fails and taken:
-            return 0  # after a failure one work item at a time, until one is answered
         own = slots - taken
         if own < asked and (taken or worker.slots):
             return 0
