--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -564,6 +564,8 @@
         taken = worker.busy + len(worker.askers)
         for ho in worker.loose:
             taken += ho.wi.slots
+        if worker.fails and taken and self.doubt:
+            return 0  # blind, after a failure: one work item at a time, until one is answered
         own = slots - taken
         if own < asked and (taken or worker.slots):
             return 0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -181,12 +181,16 @@
 
 def test_an_open_worker_is_asked_first_where_others_send_too(drive):
     d = drive(workers=(entry(1),), dispatchers=2, may_probe=True)
+    assert d.all[-1] == it.Probe(1)  # new: how many slots has it?
+    d.do(it.Probed(1, MS, Outcome.OK, report(2.0)), after=2)
     assert d.arrive(1, after=OPEN_AFTER) == [it.Probe(1)]
     assert d.do(it.Probed(1, MS, Outcome.OK, report(2.0)), after=2) == [it.HandOff(1, 1, 0)]
 
 
 def test_silence_to_the_question_leaves_time_for_another_worker(drive):
     d = drive(dispatchers=2, may_probe=True, category={"due_time": 1000 * MS})
+    d.do(*(it.Probed(w, MS, Outcome.OK, report(2.0)) for w in (1, 2)), after=2)
+    d.all.clear()
     (probe,) = d.arrive(1, after=OPEN_AFTER)
     d.do(after=600)
     asked = [a.worker for a in d.all if type(a) is it.Probe]
