Keep a waiting ticketed work item inside its window, and leave a worker that drains while asked

Both could have broken a rule: the window was only looked at when an outcome came, and a worker asked for its busy alert was not looked up in the list again.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -272,9 +272,11 @@
 
     def _start_by(self, wi):
         """The last moment at which a hand-off is likely to earn credit."""
-        if wi.row.late_credit:
-            return wi.expiry - 2 * int(wi.row.run or self.run)
-        return wi.due
+        last = wi.expiry - 2 * int(wi.row.run or self.run) if wi.row.late_credit else wi.due
+        if wi.anchor is not None and wi.row.effect == Effect.TICKETED:
+            # Waiting must not outlast the window in which its repeat is dropped.
+            last = min(last, wi.anchor.sent + wi.row.window)
+        return last
 
     def _value(self, wi):
         """Credit for the work it takes: what waits is served by it, while in time the newest first."""
@@ -583,7 +585,8 @@
         # A report that says 'busy' would hold for ever where this dispatcher sends no more: the worker is
         # asked again at an epoch, but not before a slot there has likely come free. Under overload T is a
         # tick, and asking every worker each tick cost seven points on a fleet of 41.
-        if now - worker.heard >= max(self.T, self.run / slots) and not worker.probing and self.terms.may_probe:
+        due = worker.heard + max(self.T, self.run / slots)
+        if now >= due and not worker.probing and self.terms.may_probe:
             self._probe(worker)
         return 0
 
@@ -626,10 +629,12 @@
     def _allowed(self, worker, wi):
         """Kinds, the group of a ticketed work item that may have run, and what a cold worker can take."""
         row = wi.row
-        if row.kind not in (-1, worker.kind):
-            return False
+        if row.kind not in (-1, worker.kind) or worker.standing != Standing.READY:
+            return False  # it may have left while it was asked
         anchor = wi.anchor
         if anchor is not None and row.effect == Effect.TICKETED:
+            if self.now >= anchor.sent + row.window:
+                return False
             if row.group == Group.AREA and worker.area != anchor.worker.area:
                 return False
             if row.group == Group.POD and worker.pod != anchor.worker.pod:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -269,3 +269,73 @@
     d.do(after=20)
     assert d.sent(3) == [1] and d.sent(2) == []
     assert CATEGORY.late_credit == 0.0
+
+
+def test_a_ticketed_work_item_does_not_wait_past_its_window(drive):
+    d = drive(Effect.TICKETED, Group.POD, workers=(entry(1, pod=0), entry(2, pod=1)),
+              category={"expiry": 20_000 * MS, "late_credit": 0.5, "window": 2000 * MS})
+    d.arrive(1, after=OPEN_AFTER)
+    (first,) = d.sent(1)
+    d.dispatcher.workers[first].fails = 4  # closed for long after this failure
+    d.answer(1, 0, first, Outcome.ERROR, after=100)
+    d.do(after=1850)
+    assert d.final(1) == []
+    d.do(after=100)
+    assert d.final(1) == ["WriteOff"] and d.sent(1) == [first]
+
+
+def test_a_worker_that_drains_while_it_is_asked_gets_nothing(drive):
+    d = drive(workers=(entry(1),), dispatchers=2, may_probe=True)
+    d.do(it.Probed(1, MS, Outcome.OK, report(2.0)), after=2)
+    assert d.arrive(1, after=OPEN_AFTER) == [it.Probe(1)]
+    d.do(it.Listed(it.ListKind.DELTA, 2, (entry(1, standing=it.Standing.DRAINING),)),
+         it.Probed(1, MS, Outcome.OK, report(2.0)), after=2)
+    assert d.sent(1) == []
+
+
+@pytest.mark.parametrize("effect, notes, cancelled", [
+    (Effect.RERUNNABLE, 0, True), (Effect.TICKETED, 0, True), (Effect.EXCLUSIVE, 0, False),
+    (Effect.RERUNNABLE, 3, False),
+])
+def test_two_missed_notes_mean_that_a_worker_stands_still(drive, effect, notes, cancelled):
+    d = drive(effect)
+    d.arrive(1, after=OPEN_AFTER)
+    for _ in range(notes):
+        d.do(it.Noted(1, 0, d.sent(1)[0], it.Topic.PROGRESS, 0.1), after=900)
+    d.do(after=2600 - 900 * notes if notes < 2 else 200)
+    assert (it.Cancel(1, 0) in d.all) == cancelled
+    assert (d.dispatcher.workers[d.sent(1)[0]].fails > 0) == (notes == 0)
+
+
+def test_blind_a_worker_that_failed_gets_one_at_a_time(drive):
+    d = drive(workers=(entry(1),))
+    worker = d.dispatcher.workers[1]
+    worker.slots, worker.fails, d.dispatcher.doubt = 4, 1, 1
+    d.arrive(1, after=OPEN_AFTER)
+    d.arrive(2, after=1)
+    assert d.sent(1) == [1] and d.sent(2) == []
+    d.answer(1, 0, 1, after=50, elapsed=51)
+    d.do(after=100)
+    assert d.sent(2) == [1]
+
+
+def test_a_job_goes_where_its_memory_is_free(drive):
+    d = drive(workers=(entry(1), entry(2)))
+    d.dispatcher.workers[1].slots, d.dispatcher.workers[2].slots = 2, 4
+    d.do(it.Arrived(1, 0, 0, 0, 5000 * MS, 0, 1.0, 2.5, False, False), after=OPEN_AFTER)
+    assert d.sent(1) == [2]
+
+
+def test_a_busy_worker_is_asked_again_once_a_slot_has_likely_come_free(drive):
+    d = drive(workers=(entry(1),), may_probe=True)
+    d.do(it.Probed(1, MS, Outcome.OK, report(2.0)), after=2)
+    d.dispatcher.run, d.dispatcher.T = 800 * MS, 2 * MS
+    d.dispatcher._hear(d.dispatcher.workers[1], report(0.0))
+    d.all.clear()
+    asked = []
+    for after in (100, 290, 20):
+        d.do(after=after)
+        d.dispatcher.actions = []
+        d.dispatcher._open_slots(d.dispatcher.workers[1])
+        asked.append(it.Probe(1) in d.dispatcher.actions)
+    assert asked == [False, False, True]
