--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -199,14 +199,14 @@
 
 
 def test_a_cold_worker_gets_this_dispatchers_part_at_most(drive):
-    d = drive(workers=(), dispatchers=2, category={"due_time": 5000 * MS, "late_credit": 0.5})
+    d = drive(workers=(), dispatchers=4, category={"due_time": 5000 * MS, "late_credit": 0.5})
     d.do(it.Listed(it.ListKind.DELTA, 2, (entry(1, started_at=d.now),)), after=1)
-    d.dispatcher.workers[1].slots = 8
+    d.dispatcher.workers[1].slots = 2
     d.dispatcher.run = d.dispatcher.rows[0].run = 400 * MS
     for wi in range(100):
         d.arrive(wi, after=10)
     age = 1001 / 24_000
-    budget = 4.0 * (0.12 + 0.88 * age) * 8 * 2000 / 2
+    budget = 4.0 * (0.12 + 0.88 * age) * 2 * 2000 / 4
     assert 0 < sum(len(d.sent(wi)) for wi in range(100)) * 400 <= budget
 
 
@@ -280,6 +280,10 @@
     d.answer(1, 0, first, Outcome.ERROR, after=100)
     d.do(after=1850)
     assert d.final(1) == []
+    wi, worker = d.dispatcher.items[1], d.dispatcher.workers[first]
+    assert d.dispatcher._allowed(worker, wi)
+    d.dispatcher.now = wi.anchor.sent + 2000 * MS  # its timer and another's answer may come in one batch
+    assert not d.dispatcher._allowed(worker, wi)
     d.do(after=100)
     assert d.final(1) == ["WriteOff"] and d.sent(1) == [first]
 
@@ -322,8 +326,11 @@
 def test_a_job_goes_where_its_memory_is_free(drive):
     d = drive(workers=(entry(1), entry(2)))
     d.dispatcher.workers[1].slots, d.dispatcher.workers[2].slots = 2, 4
-    d.do(it.Arrived(1, 0, 0, 0, 5000 * MS, 0, 1.0, 2.5, False, False), after=OPEN_AFTER)
-    assert d.sent(1) == [2]
+    d.do(after=OPEN_AFTER)
+    for wi in range(6):
+        d.do(it.Arrived(wi, 0, 0, 0, 5000 * MS, 0, 1.0, 2.5, False, False), after=300)
+        assert d.sent(wi) == [2]
+        d.answer(wi, 0, 2, after=1, elapsed=1)
 
 
 def test_a_busy_worker_is_asked_again_once_a_slot_has_likely_come_free(drive):
