--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -176,7 +176,7 @@
         self.tales = {}  # another dispatcher -> what it last told
         self.tale_due = False
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
-        self.queue = []  # work items that wait for an open worker
+        self.queue = {}  # work items that wait for an open worker
         self.beating = False
         self.load = 0.0  # mean share of slots that reports show taken
         self.memory = 0.0  # mean memory a slot asked
@@ -309,7 +309,7 @@
             self._end(wi, end.value)
         else:
             if worker is WAIT:
-                self.queue.append(wi)
+                self.queue[wi.id] = wi
                 self._guard(wi, WAIT, self._start_by(wi) - self.now)
             elif type(worker) is Ask:
                 worker = worker.worker
@@ -330,7 +330,7 @@
     def _overdue(self, wi):
         what, wi.waits = wi.waits, None
         if what is WAIT:
-            self.queue.remove(wi)
+            del self.queue[wi.id]
             self._end(wi, self._giving_up(wi))
         else:
             # No busy alert came: silence after a question is no sign of idleness.
@@ -341,12 +341,16 @@
     def _serve(self):
         """Give what waits its turn; what can no longer earn anything is answered."""
         if self.queue and self.stirred and any(self._open_slots(worker) > 0 for worker in self.usable):
-            for wi in sorted(self.queue, key=self._value, reverse=True):
+            # A long queue is not walked to its end when few workers are open: misses are bounded.
+            misses = len(self.usable)
+            for wi in sorted(self.queue.values(), key=self._value, reverse=True):
                 worker = self._random_open(wi)
                 if worker is not None:
-                    self.queue.remove(wi)
+                    del self.queue[wi.id]
                     self._advance(wi, worker)
-                elif not any(self._open_slots(worker) > 0 for worker in self.usable):
+                    continue
+                misses -= 1
+                if misses <= 0 or not any(self._open_slots(worker) > 0 for worker in self.usable):
                     break
         self.stirred = False
         if self.queue and not self.beating:
@@ -371,7 +375,7 @@
         wi.ended = True
         wi.course = None
         if wi.waits is WAIT:
-            self.queue.remove(wi)
+            del self.queue[wi.id]
         elif wi.waits is not None:
             wi.waits.askers.remove(wi)
         wi.waits = None
