--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -340,17 +340,17 @@
 
     def _serve(self):
         """Give what waits its turn; what can no longer earn anything is answered."""
-        if self.queue and self.stirred and any(self._open_slots(worker) > 0 for worker in self.usable):
-            # A long queue is not walked to its end when few workers are open: misses are bounded.
-            misses = len(self.usable)
-            for wi in sorted(self.queue.values(), key=self._value, reverse=True):
+        if self.queue and self.stirred:
+            # A long queue is not walked to its end for a few open workers: the misses are bounded by them.
+            misses = sum(self._open_slots(worker) > 0 for worker in self.usable)
+            for wi in sorted(self.queue.values(), key=self._value, reverse=True) if misses else ():
                 worker = self._random_open(wi)
                 if worker is not None:
                     del self.queue[wi.id]
                     self._advance(wi, worker)
                     continue
                 misses -= 1
-                if misses <= 0 or not any(self._open_slots(worker) > 0 for worker in self.usable):
+                if not misses:
                     break
         self.stirred = False
         if self.queue and not self.beating:
