--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -341,17 +341,18 @@
     def _serve(self):
         """Give what waits its turn; what can no longer earn anything is answered."""
         if self.queue and self.stirred:
-            # A long queue is not walked to its end for a few open workers: the misses are bounded by them.
-            misses = sum(self._open_slots(worker) > 0 for worker in self.usable)
-            for wi in sorted(self.queue.values(), key=self._value, reverse=True) if misses else ():
-                worker = self._random_open(wi)
+            # A long queue is not searched for again and again: what has the same needs as one that found no
+            # open worker will find none either.
+            missed = set()
+            some_open = any(self._open_slots(worker) > 0 for worker in self.usable)
+            for wi in sorted(self.queue.values(), key=self._value, reverse=True) if some_open else ():
+                needs = (wi.row, wi.slots, ceil(wi.memory), wi.anchor, self._stays(wi))
+                worker = None if needs in missed else self._random_open(wi)
                 if worker is not None:
                     del self.queue[wi.id]
                     self._advance(wi, worker)
-                    continue
-                misses -= 1
-                if not misses:
-                    break
+                else:
+                    missed.add(needs)
         self.stirred = False
         if self.queue and not self.beating:
             # One look for each slot likely to come free somewhere.
@@ -542,8 +543,7 @@
         """
         best, choices, weights = -1, [], []
         crossing = self.terms.area_price > 0
-        slack = wi.row.due_time + (wi.row.stretch - 1) * wi.row.run
-        stays = crossing and self.now - wi.came < self.terms.area_price * slack
+        stays = self._stays(wi)
         for worker in self.usable:
             if stays and worker.area != self.terms.area:
                 continue
@@ -557,6 +557,12 @@
                     weights.append(slots)
         return self.random.choices(choices, weights)[0] if choices else None
 
+    def _stays(self, wi):
+        """Whether it still waits for a worker of this area."""
+        price = self.terms.area_price
+        slack = wi.row.due_time + (wi.row.stretch - 1) * wi.row.run
+        return price > 0 and self.now - wi.came < price * slack
+
     def _open_slots(self, worker, asked=1):
         """How many of a worker's slots are open, 0 if fewer than asked: by own record at their epochs, and no
         more than it reports or the others tell."""
