--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -342,17 +342,21 @@
         """Give what waits its turn; what can no longer earn anything is answered."""
         if self.queue and self.stirred:
             # A long queue is not searched for again and again: what has the same needs as one that found no
-            # open worker will find none either.
+            # open worker will find none either, and the misses are bounded by the open workers.
             missed = set()
-            some_open = any(self._open_slots(worker) > 0 for worker in self.usable)
-            for wi in sorted(self.queue.values(), key=self._value, reverse=True) if some_open else ():
+            misses = sum(self._open_slots(worker) > 0 for worker in self.usable)
+            for wi in sorted(self.queue.values(), key=self._value, reverse=True) if misses else ():
                 needs = (wi.row, wi.slots, ceil(wi.memory), wi.anchor, self._stays(wi))
-                worker = None if needs in missed else self._random_open(wi)
+                if needs in missed:
+                    continue
+                worker = self._random_open(wi)
                 if worker is not None:
                     del self.queue[wi.id]
                     self._advance(wi, worker)
-                else:
-                    missed.add(needs)
+                    continue
+                missed.add(needs)
+                if len(missed) >= misses:
+                    break
         self.stirred = False
         if self.queue and not self.beating:
             # One look for each slot likely to come free somewhere.
