--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -342,10 +342,12 @@
         """Give what waits its turn; what can no longer earn anything is answered."""
         if self.queue and self.stirred:
             # A long queue is not searched for again and again: what has the same needs as one that found no
-            # open worker will find none either, and the misses are bounded by the open workers.
+            # open worker will find none either, and two misses a category end the walk: one by those that
+            # still wait for their own area, one by those that do not.
             missed = set()
-            misses = sum(self._open_slots(worker) > 0 for worker in self.usable)
-            for wi in sorted(self.queue.values(), key=self._value, reverse=True) if misses else ():
+            misses = 2 * len(self.rows)
+            some_open = any(self._open_slots(worker) > 0 for worker in self.usable)
+            for wi in sorted(self.queue.values(), key=self._value, reverse=True) if some_open else ():
                 needs = (wi.row, wi.slots, ceil(wi.memory), wi.anchor, self._stays(wi))
                 if needs in missed:
                     continue
