Clean up the module without changing what it does

The end of a ticketed window and the moving mean each have one place; whether all others tell is settled once a batch instead of for each worker looked at; state nobody read and lines of the course that could not be reached are gone.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -41,18 +41,17 @@
 # the other dispatchers; a work item's own count up from there.
 ASK_AGAIN, BEAT, TALE, OWN = 0, 1, 2, 3
 TOLD = Struct("<IB")  # a worker and the slots that the teller's hand-offs hold there
-
-
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
-
-
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
-
-
 NEVER = float("inf")
 AGREEING = 24  # a late report agrees nine times in ten at worst: so many in a row are one chance in ten
 
 
+def moved(mean, x, weight):
+    """A moving mean after one more value; 0 stands for none yet."""
+    return mean + ((x - mean) / weight if mean else x)
+
+
 class Ask:
     """What a work item yields to have a worker's busy alert; it is resumed with an open worker or None."""
 
@@ -104,15 +103,13 @@
 
 class WorkItem:
     __slots__ = (
-        "id", "row", "account", "slots", "memory", "came", "expiry", "due", "course", "hos", "out", "anchor",
-        "ended",
+        "id", "row", "slots", "memory", "came", "expiry", "due", "course", "hos", "out", "anchor", "ended",
         "waits", "token", "asks",
     )
 
     def __init__(self, event, row, now):
         self.id = event.wi
         self.row = row
-        self.account = event.account
         self.slots = max(1.0, event.slots)
         self.memory = event.memory
         self.came = now
@@ -128,6 +125,10 @@
         self.token = 0  # its newest timer
         self.asks = 0
 
+    def window_end(self):
+        """Up to when a repeat of a ticketed work item that may have run is dropped."""
+        return self.anchor.sent + self.row.window
+
 
 class Worker:
     __slots__ = (
@@ -170,10 +171,12 @@
         self.workers = {}  # every worker ever listed
         self.usable = []  # those listed as ready
         self.items = {}
-        self.timers = {}  # token -> work item
+        self.timers = {}  # token -> work item that waits, or hand-off that is watched
         self.token = OWN
         self.untold = {}  # workers whose own hand-offs changed since the others were told
-        self.tales = {}  # another dispatcher -> what it last told
+        self.tales = {}  # another dispatcher -> the slots it holds, by worker
+        self.told_at = {}  # another dispatcher -> when it last told
+        self.told = False  # all others tell
         self.tale_due = False
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = {}  # work items that wait for an open worker
@@ -188,8 +191,6 @@
         self.run = 0.0  # mean running time, over all categories
         self.gap = 0.0  # mean time between own hand-offs
         self.last_sent = 0
-        self.subscribed = False
-        self.asking = False
         self.refusals = 0  # failed calls to discovery in a row
         self.reactions = {
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
@@ -200,6 +201,7 @@
     def handle(self, now, events):
         """What to do about these events, in order."""
         self.now = now
+        self.told = self._all_tell()
         self.actions = []
         for event in events:
             reaction = self.reactions.get(type(event))
@@ -225,21 +227,24 @@
             self.actions.append(SetTimer(SECOND, TALE))
 
     def _heard(self, event):
-        tale = self.tales.get(event.sender)
-        if tale is None:
-            tale = self.tales[event.sender] = {}
+        tale = self.tales.setdefault(event.sender, {})
         if event.body[:1] == b"\x01":
             tale.clear()
         for worker, out in TOLD.iter_unpack(event.body[1:]):
             tale[worker] = out
-        tale[None] = self.now
+        self.told_at[event.sender] = self.now
+        self.told = self._all_tell()
+
+    def _all_tell(self):
+        """Whether every other dispatcher has lately told what it holds. One that died tells nothing any more,
+        and what it held runs on: blind again after two tales missed."""
+        if not self.terms.may_tell or len(self.tales) < self.terms.dispatchers - 1:
+            return False
+        return all(self.now - at <= 2.5 * SECOND for at in self.told_at.values())
 
     def _others(self, worker):
         """Slots that the other dispatchers say they hold there; None while one of them is silent."""
-        if not self.terms.may_tell or len(self.tales) < self.terms.dispatchers - 1:
-            return None
-        # One that died tells nothing any more, and what it held runs on: blind again after two tales missed.
-        if any(self.now - tale[None] > 2.5 * SECOND for tale in self.tales.values()):
+        if not self.told:
             return None
         return sum(tale.get(worker.id, 0) for tale in self.tales.values())
 
@@ -248,14 +253,11 @@
     def _course(self, wi):
         """A work item from top to bottom; its value is the final answer, None where that has been given."""
         while self._start_by(wi) > self.now:
-            worker = self._random_open(wi) or self._random_any(wi)
+            worker = self._pick(wi)
             while worker is not None and self._should_ask(worker, wi):
                 worker = yield Ask(worker)
             if worker is None:
                 worker = yield WAIT
-            worker = worker or self._random_any(wi)
-            if worker is None:
-                return self._giving_up(wi)
             answer = yield worker
             if answer.ended:
                 return None
@@ -263,19 +265,21 @@
                 break
         return self._giving_up(wi)
 
+    def _pick(self, wi):
+        return self._random_open(wi) or self._random_any(wi)
+
     def _should_ask(self, worker, wi):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
         terms = self.terms
         return (terms.may_probe and terms.dispatchers > 1 and wi.asks < terms.most_hand_offs
-                and self.now - worker.heard > 2 * terms.tick and not self.doubt
-                and self._others(worker) is None)
+                and self.now - worker.heard > 2 * terms.tick and not self.doubt and not self.told)
 
     def _start_by(self, wi):
         """The last moment at which a hand-off is likely to earn credit."""
         last = wi.expiry - 2 * int(wi.row.run or self.run) if wi.row.late_credit else wi.due
         if wi.anchor is not None and wi.row.effect == Effect.TICKETED:
             # Waiting must not outlast the window in which its repeat is dropped.
-            last = min(last, wi.anchor.sent + wi.row.window)
+            last = min(last, wi.window_end())
         return last
 
     def _value(self, wi):
@@ -289,14 +293,13 @@
             return False
         if wi.anchor is None or wi.row.effect == Effect.RERUNNABLE:
             return True
-        return wi.row.effect == Effect.TICKETED and self.now < wi.anchor.sent + wi.row.window
+        return wi.row.effect == Effect.TICKETED and self.now < wi.window_end()
 
     def _giving_up(self, wi):
         """Deferred where a retry is provably harmless, else written off."""
         row = wi.row
         harmless = wi.anchor is None or row.effect == Effect.RERUNNABLE or (
-            row.effect == Effect.TICKETED and row.group == Group.ALL
-            and self.now < wi.anchor.sent + row.window)
+            row.effect == Effect.TICKETED and row.group == Group.ALL and self.now < wi.window_end())
         if not harmless:
             return WriteOff(wi.id)
         return Defer(wi.id, min(self.T, self.terms.longest_come_back) if self.terms.come_back else 0)
@@ -336,10 +339,10 @@
             # No busy alert came: silence after a question is no sign of idleness.
             what.askers.remove(wi)
             self._failed(what)
-            self._advance(wi, self._random_open(wi) or self._random_any(wi))
+            self._advance(wi, self._pick(wi))
 
     def _serve(self):
-        """Give what waits its turn; what can no longer earn anything is answered."""
+        """Give what waits its turn, and see to it that somebody looks again."""
         if self.queue and self.stirred:
             # A long queue is not searched for again and again: what has the same needs as one that found no
             # open worker will find none either, and two misses a category end the walk: one by those that
@@ -369,9 +372,9 @@
     def _beat(self):
         """Ask the closed worker not heard of for longest."""
         self.beating = False
-        if self.queue and self.terms.may_probe:
+        if self.queue and self.terms.may_probe and not self.doubt:
             closed = [worker for worker in self.usable if not worker.probing and self._open_slots(worker) < 1]
-            if closed and not self.doubt:
+            if closed:
                 self._probe(min(closed, key=lambda worker: worker.heard))
 
     def _probe(self, worker):
@@ -405,7 +408,7 @@
             worker.pushed.append((now, self._work(wi)))
         if self.last_sent:
             gap = now - self.last_sent
-            self.gap += (gap - self.gap) / 32 if self.gap else gap
+            self.gap = moved(self.gap, gap, 32)
             self._learn_T()
         self.last_sent = now
         self.actions.append(HandOff(wi.id, worker.id, 0))
@@ -464,8 +467,7 @@
 
     def _rang(self, event):
         if event.token == ASK_AGAIN:
-            self.asking = False
-            self._subscribe()
+            self.actions.append(Subscribe(True))
         elif event.token == BEAT:
             self._beat()
         elif event.token == TALE:
@@ -495,7 +497,6 @@
             askers, worker.askers = worker.askers, []
             for wi in askers:
                 if wi.waits is worker:
-                    wi.waits = None
                     self._advance(wi, self._after_alert(worker, wi))
 
     def _listed(self, event):
@@ -504,7 +505,6 @@
             return
         if event.kind != ListKind.CACHED:
             self.refusals = 0
-            self.subscribed = True
         named = set()
         for entry in event.entries:
             named.add(entry.worker)
@@ -524,16 +524,10 @@
                     worker.standing = Standing.GONE
         self.usable = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
         if event.kind == ListKind.CACHED and not self.terms.pushed_list:
-            self._subscribe()
-
-    def _subscribe(self):
-        if not self.asking:
-            self.asking = True
             self.actions.append(Subscribe(True))
 
     def _ask_again(self):
         """Discovery failed: ask again after a randomised pause that grows, so that instances spread out."""
-        self.subscribed = False
         self.refusals += 1
         longest = self.terms.ask_every / 4
         pause = min(longest, self.terms.connect_timeout * 2 ** min(self.refusals, 16))
@@ -587,10 +581,10 @@
         own = slots - taken
         if own < asked and (taken or worker.slots):
             return 0
-        if self.tales:
-            others = self._others(worker)
-            if others is not None:
-                return own - others if own - others >= asked else 0
+        # With no other dispatcher nobody tells, and reports decide.
+        others = self._others(worker) if self.tales else None
+        if others is not None:
+            return own - others if own - others >= asked else 0
         if worker.free is None or not self._is_fresh(worker):
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
             part = max(1, slots / self.terms.dispatchers)
@@ -626,7 +620,7 @@
         """How long a work item is likely to wait behind those that a worker holds."""
         if worker.shut_until > self.now or not worker.slots:
             return NEVER
-        if worker.free is None or not self._is_fresh(worker) or self._others(worker) is not None:
+        if worker.free is None or not self._is_fresh(worker) or self.told:
             return NEVER  # blind; or the others tell of a freed slot at once, so waiting here loses nothing
         held = worker.slots - worker.free + worker.waiting + worker.since + len(worker.askers)
         return max(0, held + 1 - worker.slots) * self.run / worker.slots
@@ -634,7 +628,7 @@
     def _after_alert(self, worker, wi):
         """The worker asked, if open; else another open one; else the one asked, if the wait is short."""
         if not self._allowed(worker, wi):
-            return self._random_open(wi) or self._random_any(wi)
+            return self._pick(wi)
         if self._open_slots(worker) > 0:
             return worker
         other = self._random_open(wi)
@@ -649,7 +643,7 @@
             return False  # it may have left while it was asked
         anchor = wi.anchor
         if anchor is not None and row.effect == Effect.TICKETED:
-            if self.now >= anchor.sent + row.window:
+            if self.now >= wi.window_end():
                 return False
             if row.group == Group.AREA and worker.area != anchor.worker.area:
                 return False
@@ -709,9 +703,8 @@
             worker.fails = 0
             worker.shut_until = 0
             if ho.direct or not self.run:
-                row = wi.row
-                row.run += (x - row.run) / 16 if row.run else x
-                self.run += (x - self.run) / 16 if self.run else x
+                wi.row.run = moved(wi.row.run, x, 16)
+                self.run = moved(self.run, x, 16)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             self._failed(worker)
 
