Tell late reports by full answers that come with a report of room

Cause: late reports were told only by own hand-offs out at the same worker; with 0.7 work items a second a dispatcher hardly ever has one, and 24 agreeing reports never come.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -44,7 +44,6 @@
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
 NEVER = float("inf")
-AGREEING = 24  # a late report agrees nine times in ten at worst: so many in a row are one chance in ten
 
 
 def moved(mean, x, weight):
@@ -184,7 +183,9 @@
         self.load = 0.0  # mean share of slots that reports show taken
         self.memory = 0.0  # mean memory a slot asked
         self.stirred = False  # something came that may have opened a worker
-        self.doubt = 0  # reports are held to be late until so many agree with own record
+        self.doubt = False  # reports are held to be late
+        self.doubt_until = 0
+        self.doubts = 0  # in a row
         self.now = 0
         self.actions = []
         self.T = SECOND
@@ -201,6 +202,7 @@
     def handle(self, now, events):
         """What to do about these events, in order."""
         self.now = now
+        self.doubt = now < self.doubt_until
         self.told = self._all_tell()
         self.actions = []
         for event in events:
@@ -707,6 +709,8 @@
                 self.run = moved(self.run, x, 16)
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             self._failed(worker)
+            if event.outcome == Outcome.FULL and self._shows_room(event.report, wi):
+                self._contradicted()
 
     def _failed(self, worker):
         """Closed an epoch more, twice as long for each further failure in a row, up to an answer from it."""
@@ -721,9 +725,7 @@
             # alone is late. One that agrees may do so by luck, so it takes a run of them to believe again.
             long_out = sum((self.now - ho.sent) * 8 > (self.run or self.T) for ho in worker.out)
             if round(report.held) < long_out:
-                self.doubt = AGREEING
-            elif long_out and self.doubt:
-                self.doubt -= 1
+                self._contradicted()
         # Reports are a little noisy: taken as they come, a worker with its one slot free would read 0.97 and
         # stay closed.
         worker.free, worker.heard, worker.since = round(report.free_slots), self.now, 0
@@ -733,6 +735,22 @@
         if worker.slots:
             self.load += (max(0, 1 - worker.free / worker.slots) - self.load) / 32
 
+    def _shows_room(self, report, wi):
+        """Whether a report says it could have started. Where own hand-offs are few, hardly any report can
+        be held against them, but one that comes with 'full' and shows room is older than the answer."""
+        return (report is not None and report.free_slots is not None and not round(report.waiting or 0)
+                and round(report.free_slots) >= max(wi.slots, 2 * wi.memory))
+
+    def _contradicted(self):
+        """Reports are late: set aside for a mean running time, twice as long each further time in a row."""
+        length = int(self.run or self.T)
+        if not self.doubt:
+            # Trusted again for as long as they were set aside, and not contradicted: not in a row any more.
+            trusted = self.now - self.doubt_until
+            self.doubts = 0 if trusted > length << self.doubts else min(self.doubts + 1, 4)
+        self.doubt = True
+        self.doubt_until = self.now + (length << self.doubts)
+
     def _learn_T(self):
         """T keeps own load x T/(1-e^-T) under 1, in mean running times, and is two of them when quiet."""
         if not self.run or not self.gap or not self.usable:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,7 +3,6 @@
 
 from heronwinch import interface as it
 from heronwinch.interface import Effect, Group, Outcome
-from heronwinch.policy import AGREEING
 
 OPEN_AFTER = 2500  # milliseconds: new workers have had their first epoch
 
@@ -166,17 +165,29 @@
     assert worker.fails == 0 and worker.shut_until == 0
 
 
-def test_late_reports_are_set_aside_until_enough_agree(drive):
-    d = drive(workers=(entry(1),))
+def test_late_reports_are_set_aside_twice_as_long_for_each_time_in_a_row(drive):
+    d = drive(workers=(entry(1),), category={"due_time": 100_000 * MS, "expiry": 200_000 * MS})
     worker = d.dispatcher.workers[1]
     worker.slots = 2
     d.arrive(1, after=OPEN_AFTER)
     d.do(after=900)
-    d.dispatcher._hear(worker, report(2.0, held=0))  # it must hold at least the one sent long ago
-    assert d.dispatcher.doubt and not d.dispatcher._is_fresh(worker)
-    for _ in range(AGREEING):
+    aside = []
+    for _ in range(3):
+        d.dispatcher._hear(worker, report(2.0, held=0))  # it must hold at least the one sent long ago
+        assert not d.dispatcher._is_fresh(worker)
+        aside.append(d.dispatcher.doubt_until - d.now)
+        d.do(after=aside[-1] / MS + 1)
         d.dispatcher._hear(worker, report(1.0, held=1))
-    assert d.dispatcher._is_fresh(worker)
+        assert d.dispatcher._is_fresh(worker)
+    assert aside == [d.dispatcher.T, 2 * d.dispatcher.T, 4 * d.dispatcher.T]
+
+
+@pytest.mark.parametrize("free, waiting, late", [(1.0, 0.0, True), (0.0, 0.0, False), (1.0, 1.0, False)])
+def test_full_with_a_report_that_shows_room_means_late_reports(drive, free, waiting, late):
+    d = drive()
+    d.arrive(1, after=OPEN_AFTER)
+    d.answer(1, 0, d.sent(1)[0], Outcome.FULL, after=1, report=report(free, waiting, held=2.0))
+    assert d.dispatcher.doubt == late
 
 
 def test_an_open_worker_is_asked_first_where_others_send_too(drive):
@@ -314,7 +325,7 @@
 def test_blind_a_worker_that_failed_gets_one_at_a_time(drive):
     d = drive(workers=(entry(1),))
     worker = d.dispatcher.workers[1]
-    worker.slots, worker.fails, d.dispatcher.doubt = 4, 1, 1
+    worker.slots, worker.fails, d.dispatcher.doubt_until = 4, 1, d.now + 9_000 * MS
     d.arrive(1, after=OPEN_AFTER)
     d.arrive(2, after=1)
     assert d.sent(1) == [1] and d.sent(2) == []
