Ask before every hand-off while others send too, and look for room at growing pauses

Cause: asked in vain four times, a work item went to the next worker open by silence alone, was turned away four times within milliseconds and deferred; workers reported busy were all asked again at once at every arrival, 13 probes a work item. Now: asked in vain so often, only workers just heard of count; a busy report holds for an epoch (at least until a slot has likely come free); looks for what waits grow apart up to T.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -180,6 +180,7 @@
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = {}  # work items that wait for an open worker
         self.beating = False
+        self.looks = 0  # in vain, in a row
         self.load = 0.0  # mean share of slots that reports show taken
         self.memory = 0.0  # mean memory a slot asked
         self.stirred = False  # something came that may have opened a worker
@@ -259,7 +260,8 @@
             while worker is not None and self._should_ask(worker, wi):
                 worker = yield Ask(worker)
             if worker is None:
-                worker = yield WAIT
+                yield WAIT
+                continue
             answer = yield worker
             if answer.ended:
                 return None
@@ -271,10 +273,13 @@
         return self._random_open(wi) or self._random_any(wi)
 
     def _should_ask(self, worker, wi):
+        return wi.asks < self.terms.most_hand_offs and not self._known(worker)
+
+    def _known(self, worker):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
         terms = self.terms
-        return (terms.may_probe and terms.dispatchers > 1 and wi.asks < terms.most_hand_offs
-                and self.now - worker.heard > 2 * terms.tick and not self.doubt and not self.told)
+        return (not terms.may_probe or terms.dispatchers == 1 or self.doubt or self.told
+                or self.now - worker.heard <= 2 * terms.tick)
 
     def _start_by(self, wi):
         """The last moment at which a hand-off is likely to earn credit."""
@@ -356,26 +361,32 @@
                 needs = (wi.row, wi.slots, ceil(wi.memory), wi.anchor, self._stays(wi))
                 if needs in missed:
                     continue
-                worker = self._random_open(wi)
-                if worker is not None:
+                if self._pick(wi) is not None:
+                    self.looks = 0
                     del self.queue[wi.id]
-                    self._advance(wi, worker)
+                    self._advance(wi)
                     continue
                 missed.add(needs)
                 if len(missed) >= misses:
                     break
         self.stirred = False
         if self.queue and not self.beating:
-            # One look for each slot likely to come free somewhere.
+            # One look for each slot likely to come free somewhere, a pause twice as long after each in vain,
+            # up to an epoch: many dispatchers that wait would ask for each such slot many times.
             self.beating = True
             slots = sum(worker.slots or 1 for worker in self.usable) or 1
-            self.actions.append(SetTimer(max(2 * self.terms.tick, int((self.run or self.T) / slots)), BEAT))
+            pause = max(2 * self.terms.tick, int((self.run or self.T) / slots)) << self.looks
+            self.actions.append(SetTimer(max(2 * self.terms.tick, min(pause, self.T)), BEAT))
+        elif not self.queue:
+            self.looks = 0
 
     def _beat(self):
         """Ask the closed worker not heard of for longest."""
         self.beating = False
+        self.looks = min(self.looks + 1, 16)
         if self.queue and self.terms.may_probe and not self.doubt:
-            closed = [worker for worker in self.usable if not worker.probing and self._open_slots(worker) < 1]
+            closed = [worker for worker in self.usable if not worker.probing
+                      and worker.shut_until <= self.now and self._open_slots(worker) < 1]
             if closed:
                 self._probe(min(closed, key=lambda worker: worker.heard))
 
@@ -546,9 +557,13 @@
         best, choices, weights = -1, [], []
         crossing = self.terms.area_price > 0
         stays = self._stays(wi)
+        # So many asked in vain are evidence that none is open: silence alone no longer counts.
+        asked_out = wi.asks >= self.terms.most_hand_offs
         for worker in self.usable:
             if stays and worker.area != self.terms.area:
                 continue
+            if asked_out and not self._known(worker):
+                continue
             slots = self._open_slots(worker, wi.slots)
             if slots > 0 and self._allowed(worker, wi):
                 rank = 2 * (slots >= MOST) + (crossing and worker.area == self.terms.area)
@@ -594,13 +609,9 @@
         free = worker.free - worker.since - len(worker.askers)
         if free >= max(asked, slots / 4) and worker.waiting < 1:
             return min(own, free)
-        # A report that says 'busy' would hold for ever where this dispatcher sends no more: the worker is
-        # asked again at an epoch, but not before a slot there has likely come free. Under overload T is a
-        # tick, and asking every worker each tick cost seven points on a fleet of 41.
-        due = worker.heard + max(self.T, self.run / slots)
-        if now >= due and not worker.probing and self.terms.may_probe:
-            self._probe(worker)
-        return 0
+        # A report that says 'busy' would hold for ever where this dispatcher sends no more: it holds for an
+        # epoch, but not less than until a slot there has likely come free.
+        return own if now >= worker.heard + max(self.T, self.run / slots) else 0
 
     def _is_fresh(self, worker):
         """Whether its last report still says something: younger than work items commonly run."""
@@ -628,15 +639,10 @@
         return max(0, held + 1 - worker.slots) * self.run / worker.slots
 
     def _after_alert(self, worker, wi):
-        """The worker asked, if open; else another open one; else the one asked, if the wait is short."""
-        if not self._allowed(worker, wi):
-            return self._pick(wi)
-        if self._open_slots(worker) > 0:
-            return worker
-        other = self._random_open(wi)
-        if other is None and self._wait_at(worker) <= wi.due - self.now:
+        """The worker asked, if open; else another."""
+        if self._allowed(worker, wi) and self._open_slots(worker, wi.slots) > 0:
             return worker
-        return other or self._random_any(wi)
+        return self._pick(wi)
 
     def _allowed(self, worker, wi):
         """Kinds, the group of a ticketed work item that may have run, and what a cold worker can take."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -344,16 +344,33 @@
         d.answer(wi, 0, 2, after=1, elapsed=1)
 
 
-def test_a_busy_worker_is_asked_again_once_a_slot_has_likely_come_free(drive):
-    d = drive(workers=(entry(1),), may_probe=True)
+def test_a_busy_worker_counts_as_open_again_once_a_slot_has_likely_come_free(drive):
+    d = drive(workers=(entry(1),), may_probe=True, dispatchers=2)
     d.do(it.Probed(1, MS, Outcome.OK, report(2.0)), after=2)
     d.dispatcher.run, d.dispatcher.T = 800 * MS, 2 * MS
     d.dispatcher._hear(d.dispatcher.workers[1], report(0.0))
-    d.all.clear()
-    asked = []
+    seen = []
     for after in (100, 290, 20):
         d.do(after=after)
-        d.dispatcher.actions = []
-        d.dispatcher._open_slots(d.dispatcher.workers[1])
-        asked.append(it.Probe(1) in d.dispatcher.actions)
-    assert asked == [False, False, True]
+        seen.append(d.dispatcher._open_slots(d.dispatcher.workers[1]) > 0)
+    assert seen == [False, False, True]
+    assert d.arrive(1) == [it.Probe(1)]  # and is asked before it is handed anything
+
+
+def test_asked_in_vain_so_often_none_counts_as_open_and_the_looks_grow_apart(drive):
+    d = drive(workers=[entry(w) for w in range(9)], may_probe=True, dispatchers=50,
+              category={"due_time": 3000 * MS})
+    d.do(*(it.Probed(w, MS, Outcome.OK, report(2.0)) for w in range(9)), after=2)
+    d.dispatcher.run = 800 * MS
+    d.do(after=OPEN_AFTER)
+    d.all.clear()
+    d.arrive(1)
+    looks = []
+    for _ in range(1400):
+        asked = [a.worker for a in d.all if type(a) is it.Probe]
+        d.all.clear()
+        looks += [d.now] * len(asked)
+        d.do(*(it.Probed(w, MS, Outcome.OK, report(0.0, waiting=9.0, held=11.0)) for w in asked), after=2)
+    assert looks[3] - looks[0] <= 10 * MS and d.sent(1) == []
+    gaps = [b - a for a, b in zip(looks[4:], looks[5:], strict=False)]
+    assert len(looks) < 20 and gaps[1] < gaps[2] < gaps[3]
