Close a connection that is not likely used again before it times out

Cause: one connection a work item, kept for 15 s: 126 to 254 dispatchers held some 40 at every worker, whose table takes up to a third of its capacity as it fills, and after the shrink no more were accepted (a tenth of hand-offs without connection). Rule: gap between own hand-offs x usable workers above the time idle ones are kept.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -17,6 +17,7 @@
     Answered,
     Arrived,
     Cancel,
+    CloseIdle,
     Defer,
     Effect,
     Group,
@@ -705,6 +706,10 @@
         worker.memory -= wi.memory
         self.untold[worker.id] = worker
         self._hear(worker, event.report)
+        if not worker.out and self.gap * len(self.usable) > self.terms.connection_idle:
+            # Kept, its connection would time out before it is likely used again; idle ones of hundreds of
+            # dispatchers leave a worker none to accept.
+            self.actions.append(CloseIdle(worker.id))
         x = event.elapsed
         ho.elapsed = x
         if event.outcome == Outcome.OK:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -374,3 +374,12 @@
     assert looks[3] - looks[0] <= 10 * MS and d.sent(1) == []
     gaps = [b - a for a, b in zip(looks[4:], looks[5:], strict=False)]
     assert len(looks) < 20 and gaps[1] < gaps[2] < gaps[3]
+
+
+@pytest.mark.parametrize("every, closes", [(100, False), (2000, True)])
+def test_a_connection_not_likely_used_again_is_closed(drive, every, closes):
+    d = drive(workers=[entry(w) for w in range(40)])
+    for wi in range(1, 9):
+        d.arrive(wi, after=OPEN_AFTER if wi == 1 else every)
+        d.answer(wi, 0, d.sent(wi)[0], after=1)
+    assert (it.CloseIdle(d.sent(8)[0]) in d.all) == closes
