Tell in circles of dispatchers that share workers, tales age instead of waiting for all

Now a hand-off is told at once in the circle of its worker (a circle is as large as a hundredth of a credit pays for), freed slots with the next one, one table goes to a random dispatcher outside; what is not told again in 8 mean running times is forgotten. Connections are kept where new ones have a price.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -38,10 +38,14 @@
     WriteOff,
 )
 
-# Timer tokens: the next call to discovery, the next look at the waiting work items, the next whole tale to
-# the other dispatchers; a work item's own count up from there.
+# Timer tokens: the next call to discovery, the next look at the waiting work items, the next tale to the
+# other dispatchers; a work item's own count up from there.
 ASK_AGAIN, BEAT, TALE, OWN = 0, 1, 2, 3
-TOLD = Struct("<IB")  # a worker and the slots that the teller's hand-offs hold there
+TOLD = Struct("<HB")  # a worker, by the last bits of its id, and the slots that the teller holds there
+# Beside the teller's area in the first byte: tell me where you are and what you hold; this is all that is
+# held at these workers, whoever holds it.
+HELLO, TABLE = 0x80, 0x40
+TALE_BYTES = 16  # of a short message, its head included
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
 NEVER = float("inf")
@@ -133,7 +137,8 @@
 class Worker:
     __slots__ = (
         "id", "area", "kind", "pod", "standing", "started_at", "slots", "out", "busy", "since", "loose",
-        "memory", "shut_until", "fails", "free", "waiting", "heard", "probing", "askers", "pushed",
+        "memory", "shut_until", "fails", "free", "waiting", "heard", "probing", "askers", "pushed", "others",
+        "told_at", "weight", "circle", "table", "table_at",
     )
 
     def __init__(self, entry, epoch):
@@ -148,11 +153,16 @@
         self.probing = False
         self.askers = []  # work items that asked for its busy alert
         self.pushed = deque()  # (when, work) sent while it was cold
+        self.others = 0  # slots that the other dispatchers say they hold
+        self.told_at = 0  # when the others were last told of own hand-offs here
+        self.circle = None  # those of its area whose dispatchers tell each other
+        self.table, self.table_at = 0, NEVER  # slots held by others, as its circle told, and when
         self.list(entry)
         self.restart(epoch)
 
     def list(self, entry):
         self.area, self.kind, self.pod = entry.area, entry.kind, entry.pod
+        self.weight = entry.weight
         self.standing, self.started_at = entry.standing, entry.started_at
 
     def restart(self, epoch):
@@ -173,10 +183,19 @@
         self.items = {}
         self.timers = {}  # token -> work item that waits, or hand-off that is watched
         self.token = OWN
+        self.news = False  # a hand-off that the others were not told of
         self.untold = {}  # workers whose own hand-offs changed since the others were told
-        self.tales = {}  # another dispatcher -> the slots it holds, by worker
-        self.told_at = {}  # another dispatcher -> when it last told
-        self.told = False  # all others tell
+        self.near = {}  # last bits of an id -> the workers that have them
+        self.tales = {}  # (another dispatcher, worker) -> the slots it holds there and when it told so
+        self.tellings = deque()  # (when, the same two), to forget what is not told again
+        self.met = {}  # another dispatcher -> its area
+        self.circle = (terms.area, 0)
+        self.peers = {}  # circle -> the other dispatchers in it
+        self.outside = []  # those in other circles
+        self.mixed = False  # the circles have to be made anew
+        affordable = MOST * 256 / TALE_BYTES / terms.message_price if terms.message_price else NEVER
+        self.most_fellows = max(1.0, affordable)
+        self.told = False  # others tell what they hold
         self.tale_due = False
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = {}  # work items that wait for an open worker
@@ -205,52 +224,131 @@
         """What to do about these events, in order."""
         self.now = now
         self.doubt = now < self.doubt_until
-        self.told = self._all_tell()
+        if self.tellings:
+            self._forget()
+        if self.mixed:
+            self._circles()
         self.actions = []
         for event in events:
             reaction = self.reactions.get(type(event))
             if reaction is not None:
                 reaction(event)
-            self.stirred = self.stirred or type(event) is not Arrived
         self._serve()
-        if self.terms.may_tell and self.untold:
+        if self.news:
             self._tell()
         return self.actions
 
     # ---- messages between dispatchers, where allowed: own record is each one's best knowledge
 
-    def _tell(self, whole=False):
-        told = [w for w in self.workers.values() if w.out] if whole else list(self.untold.values())
-        self.untold = {}
-        for at in range(0, max(1, len(told)), 50):
-            body = b"".join(TOLD.pack(w.id, min(255, int(w.busy))) for w in told[at:at + 50])
-            self.actions.append(Tell(-1, bytes([whole and at == 0]) + body))
-        if whole or not self.tale_due:
-            # Messages get lost: a whole tale every second mends what the changes missed.
-            self.tale_due = True
-            self.actions.append(SetTimer(SECOND, TALE))
+    def _circles(self):
+        """Dispatchers of an area in circles, each with its share of the area's workers, dealt out by weight.
+        What a hand-off holds is told in its worker's circle only, and a circle is as large as a hundredth of
+        a work item's credit pays for: told to all, messages cost the square of the dispatchers."""
+        self.mixed = False
+        areas = {self.terms.area: [self.terms.me]}
+        for peer, area in self.met.items():
+            areas.setdefault(area, []).append(peer)
+        counts, self.peers, self.outside = {}, {}, []
+        for area, peers in areas.items():
+            counts[area] = max(1, ceil(len(peers) / self.most_fellows))
+            for at, peer in enumerate(sorted(peers)):
+                circle = (area, at % counts[area])
+                if peer == self.terms.me:
+                    self.circle = circle
+                else:
+                    self.peers.setdefault(circle, []).append(peer)
+        for circle, peers in self.peers.items():
+            if circle != self.circle:
+                self.outside += peers
+        dealt = {}
+        for worker in sorted(self.workers.values(), key=lambda w: (w.weight, w.id)):
+            at = dealt[worker.area] = dealt.get(worker.area, -1) + 1
+            worker.circle = (worker.area, at % counts.get(worker.area, 1))
+
+    def _tell(self):
+        """Tell what own hand-offs hold, in the circles of their workers; and to one random other dispatcher
+        elsewhere all that is held in this circle, for those that cannot find an open worker in their own."""
+        changed, self.untold, self.news = list(self.untold.values()), {}, False
+        circles = {}
+        for worker in changed:
+            worker.told_at = self.now
+            circles.setdefault(worker.circle, []).append(worker)
+        for circle, workers in circles.items():
+            for body in self._tale(workers):
+                self.actions += [Tell(peer, body) for peer in self.peers.get(circle, ())]
+        if self.outside:
+            mine = [w for w in self.usable if w.circle == self.circle]
+            peer = self.random.choice(self.outside)
+            self.actions += [Tell(peer, body) for body in self._tale(mine, TABLE)]
+
+    def _tale(self, workers, what=0):
+        for at in range(0, len(workers), 80):
+            yield bytes([self.terms.area | what]) + b"".join(
+                TOLD.pack(w.id & 0xFFFF, min(255, int(w.busy + (w.others if what else 0))))
+                for w in workers[at:at + 80])
+
+    def _retell(self):
+        """Slots that came free are told with the next hand-off or here; what lasts is, before it is lost."""
+        life = self._tale_life() // 2
+        held = [w for w in self.workers.values() if w.out]
+        for worker in held:
+            if self.now - worker.told_at > life:
+                self.untold[worker.id] = worker
+        self.news = bool(self.untold)
+        self.tale_due = bool(held)
+        if held:
+            self.actions.append(SetTimer(int(self.run or self.T), TALE))
+
+    def _tale_life(self):
+        """A tale not told again says nothing any more once work of that age is rare: its teller died, or the
+        message that took it back was lost."""
+        return 8 * int(self.run or self.T)
+
+    def _forget(self):
+        last = self.now - self._tale_life()
+        while self.tellings and self.tellings[0][0] < last:
+            when, key = self.tellings.popleft()
+            slots, told_at = self.tales.get(key, (0, 0))
+            if told_at == when:
+                del self.tales[key]
+                self.workers[key[1]].others -= slots
+                self.stirred = True
 
     def _heard(self, event):
-        tale = self.tales.setdefault(event.sender, {})
-        if event.body[:1] == b"\x01":
-            tale.clear()
-        for worker, out in TOLD.iter_unpack(event.body[1:]):
-            tale[worker] = out
-        self.told_at[event.sender] = self.now
-        self.told = self._all_tell()
-
-    def _all_tell(self):
-        """Whether every other dispatcher has lately told what it holds. One that died tells nothing any more,
-        and what it held runs on: blind again after two tales missed."""
-        if not self.terms.may_tell or len(self.tales) < self.terms.dispatchers - 1:
-            return False
-        return all(self.now - at <= 2.5 * SECOND for at in self.told_at.values())
+        sender, body = event.sender, event.body
+        if not body:
+            return
+        area = body[0] & ~(HELLO | TABLE)
+        if sender not in self.met:
+            self.met[sender] = area
+            self.told = self.mixed = True
+        if body[0] & HELLO:
+            here = [w for w in self.workers.values() if w.out and w.area == area]
+            tales = list(self._tale(here)) or [bytes([self.terms.area])]
+            self.actions += [Tell(sender, tale) for tale in tales]
+        tales, now = self.tales, self.now
+        for at in range(1, len(body) - TOLD.size + 1, TOLD.size):
+            bits, slots = TOLD.unpack_from(body, at)
+            for worker in self.near.get(bits, ()):
+                if body[0] & TABLE:
+                    worker.table, worker.table_at = max(0, slots - worker.busy), now
+                    self.stirred = True
+                    continue
+                key = (sender, worker.id)
+                before = tales.pop(key, (0, 0))[0]
+                worker.others += slots - before
+                self.stirred = self.stirred or slots < before
+                if slots:
+                    tales[key] = (slots, now)
+                    self.tellings.append((now, key))
 
     def _others(self, worker):
-        """Slots that the other dispatchers say they hold there; None while one of them is silent."""
+        """Slots that the other dispatchers say they hold there; None where nobody tells."""
         if not self.told:
             return None
-        return sum(tale.get(worker.id, 0) for tale in self.tales.values())
+        if worker.circle == self.circle:
+            return worker.others
+        return worker.table if self.now - worker.table_at < (self.run or self.T) else None
 
     # ---- the course of one work item
 
@@ -417,7 +515,12 @@
         worker.busy += wi.slots
         worker.since += wi.slots
         worker.memory += wi.memory
-        self.untold[worker.id] = worker
+        if self.told:
+            self.untold[worker.id] = worker
+            self.news = True
+            if not self.tale_due:
+                self.tale_due = True
+                self.actions.append(SetTimer(int(self.run or self.T), TALE))
         if self._is_cold(worker):
             worker.pushed.append((now, self._work(wi)))
         if self.last_sent:
@@ -457,6 +560,7 @@
         self._advance(wi)
 
     def _answered(self, event):
+        self.stirred = True
         wi = self.items.get(event.wi)
         if wi is None or event.ho >= len(wi.hos):
             return
@@ -480,12 +584,13 @@
             self._end(wi, None)
 
     def _rang(self, event):
+        self.stirred = True
         if event.token == ASK_AGAIN:
             self.actions.append(Subscribe(True))
         elif event.token == BEAT:
             self._beat()
         elif event.token == TALE:
-            self._tell(whole=True)
+            self._retell()
         else:
             wi = self.timers.pop(event.token)
             if type(wi) is Out:
@@ -500,6 +605,7 @@
             wi.hos[event.ho].noted = self.now
 
     def _probed(self, event):
+        self.stirred = True
         worker = self.workers.get(event.worker)
         if worker is not None:
             worker.probing = False
@@ -526,6 +632,7 @@
             if worker is None:
                 worker = self.workers[entry.worker] = Worker(
                     entry, self.now + int(self.T * self.random.random()))
+                self.near.setdefault(entry.worker & 0xFFFF, []).append(worker)
                 if self.terms.may_probe and entry.standing == Standing.READY:
                     self._probe(worker)  # how many slots it has is known before its first epoch
             else:
@@ -537,8 +644,12 @@
                 if worker.id not in named:
                     worker.standing = Standing.GONE
         self.usable = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
-        if event.kind == ListKind.CACHED and not self.terms.pushed_list:
-            self.actions.append(Subscribe(True))
+        self.stirred, self.mixed = True, self.terms.may_tell
+        if event.kind == ListKind.CACHED:
+            if not self.terms.pushed_list:
+                self.actions.append(Subscribe(True))
+            if self.terms.may_tell and self.terms.dispatchers > 1:
+                self.actions.append(Tell(-1, bytes([self.terms.area | HELLO])))
 
     def _ask_again(self):
         """Discovery failed: ask again after a randomised pause that grows, so that instances spread out."""
@@ -567,7 +678,8 @@
                 continue
             slots = self._open_slots(worker, wi.slots)
             if slots > 0 and self._allowed(worker, wi):
-                rank = 2 * (slots >= MOST) + (crossing and worker.area == self.terms.area)
+                ranks = slots >= MOST, crossing and worker.area == self.terms.area
+                rank = ranks[self.told] + 2 * ranks[not self.told]
                 if rank > best:
                     best, choices, weights = rank, [], []
                 if rank == best:
@@ -600,11 +712,13 @@
         if own < asked and (taken or worker.slots):
             return 0
         # With no other dispatcher nobody tells, and reports decide.
-        others = self._others(worker) if self.tales else None
+        others = self._others(worker)
         if others is not None:
             return own - others if own - others >= asked else 0
         if worker.free is None or not self._is_fresh(worker):
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
+            if self.told:  # outside its circle: after all that are known to be open
+                return min(own, MOST / (2 + taken))
             part = max(1, slots / self.terms.dispatchers)
             return part - taken if taken < part else min(own, MOST / (1 + taken))
         free = worker.free - worker.since - len(worker.askers)
@@ -704,9 +818,11 @@
         worker.loose.append(ho)
         worker.busy -= wi.slots
         worker.memory -= wi.memory
-        self.untold[worker.id] = worker
+        if self.told:
+            self.untold[worker.id] = worker
         self._hear(worker, event.report)
-        if not worker.out and self.gap * len(self.usable) > self.terms.connection_idle:
+        if (not worker.out and not self.terms.connection_price
+                and self.gap * len(self.usable) > self.terms.connection_idle):
             # Kept, its connection would time out before it is likely used again; idle ones of hundreds of
             # dispatchers leave a worker none to accept.
             self.actions.append(CloseIdle(worker.id))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,6 +3,7 @@
 
 from heronwinch import interface as it
 from heronwinch.interface import Effect, Group, Outcome
+from heronwinch.policy import TABLE
 
 OPEN_AFTER = 2500  # milliseconds: new workers have had their first epoch
 
@@ -230,20 +231,62 @@
     assert [d.sent(wi)[0] % 2 for wi in range(8)] == [0] * 4 + [1] * 4
 
 
+def told(actions):
+    return [(a.dispatcher, a.body) for a in actions if type(a) is it.Tell]
+
+
 def test_dispatchers_tell_each_other(drive):
     one, two = (drive(workers=(entry(1),), dispatchers=2, may_tell=True, me=me) for me in (0, 1))
+    hello = told(one.all)
+    assert [to for to, _ in hello] == [-1]
     for d in (one, two):
         d.dispatcher.workers[1].slots = 1
-        d.do(it.Heard(1 - d.terms.me, b"\x01"), after=OPEN_AFTER)
-    tale = [a for a in one.arrive(1) if type(a) is it.Tell]
-    two.do(it.Heard(0, tale[0].body))
+        d.do(after=OPEN_AFTER)
+    (answer,) = told(two.do(it.Heard(0, hello[0][1])))
+    one.do(it.Heard(1, answer[1]))
+    (tale,) = told(one.arrive(1))
+    two.do(it.Heard(0, tale[1]))
     two.arrive(2)
     assert two.sent(2) == []  # the one slot is another's
-    tale = [a for a in one.answer(1, 0, 1, after=50) if type(a) is it.Tell]
-    two.do(it.Heard(0, tale[0].body), after=50)
+    one.answer(1, 0, 1, after=50)
+    one.all.clear()
+    one.do(after=1000)
+    (tale,) = told(one.all)
+    two.do(it.Heard(0, tale[1]), after=50)
     assert two.sent(2) == [1]
 
 
+@pytest.mark.parametrize("worker, price, most", [(1, 0.0, 60), (2, 0.0, 40), (1, 0.01, 16), (2, 0.01, 16)])
+def test_only_the_circle_of_a_worker_is_told_of_a_hand_off(drive, worker, price, most):
+    d = drive(workers=(entry(worker, area=worker - 1),), dispatchers=100, may_tell=True, message_price=price)
+    d.do(*(it.Heard(peer, bytes([peer > 60])) for peer in range(1, 100)), after=OPEN_AFTER)
+    d.arrive(1)
+    tales = [(to, body) for to, body in told(d.all) if to >= 0 and not body[0] & TABLE]
+    assert most / 2 < len(tales) <= most and all((to > 60) == (worker == 2) for to, _ in tales)
+
+
+def test_a_circle_tells_one_other_dispatcher_all_that_it_holds(drive):
+    d = drive(workers=(entry(1), entry(2, area=1)), dispatchers=3, may_tell=True, area_price=0.1)
+    d.do(it.Heard(1, b"\x00"), it.Heard(2, b"\x01"), after=OPEN_AFTER)
+    d.do(it.Heard(1, b"\x00\x01\x00\x02"))
+    d.dispatcher.workers[1].slots = 4
+    d.arrive(1)
+    assert (2, b"\x40\x01\x00\x03") in told(d.all)
+    d.do(it.Heard(2, b"\x41\x02\x00\x05"))
+    assert d.dispatcher._open_slots(d.dispatcher.workers[2]) == 0
+
+
+def test_a_tale_not_told_again_is_forgotten(drive):
+    d = drive(workers=(entry(1),), dispatchers=3, may_tell=True, category={"due_time": 60_000 * MS})
+    d.dispatcher.workers[1].slots = 1
+    d.do(it.Heard(1, b"\x00\x01\x00\x01"), after=OPEN_AFTER)  # and its teller dies
+    d.arrive(1)
+    d.do(after=7900)
+    assert d.sent(1) == []
+    d.do(it.Heard(2, b"\x00"), after=200)
+    assert d.sent(1) == [1]
+
+
 def test_discovery_is_asked_at_the_start_and_again_after_failures(drive):
     d = drive(pushed_list=False)
     assert d.all == [it.Subscribe(True)]
