Draw an open worker instead of walking the fleet; look only at workers with news

A pick now draws up to 8 workers and takes one by chance, in proportion to its open slots (the walk remains for when all draws fail); what waits is looked over for workers that the batch brought news of, and for all at each look.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -49,6 +49,8 @@
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
 NEVER = float("inf")
+BEST = 3  # rank of a worker known to be open, where it is best used
+DRAWS = 8  # so many in vain find two open workers in three of a fleet all but once in 6000; then it is walked
 
 
 def moved(mean, x, weight):
@@ -180,6 +182,7 @@
         self.rows = [Row(category) for category in terms.categories]
         self.workers = {}  # every worker ever listed
         self.usable = []  # those listed as ready
+        self.first = []  # of these, where the best choices are: the own circle, the own area, or all
         self.items = {}
         self.timers = {}  # token -> work item that waits, or hand-off that is watched
         self.token = OWN
@@ -201,9 +204,11 @@
         self.queue = {}  # work items that wait for an open worker
         self.beating = False
         self.looks = 0  # in vain, in a row
+        self.most_slots = 1  # that any worker has shown
         self.load = 0.0  # mean share of slots that reports show taken
         self.memory = 0.0  # mean memory a slot asked
-        self.stirred = False  # something came that may have opened a worker
+        self.touched = []  # workers that something just came from or about: one may have opened
+        self.look = False  # look at all of them: time has passed, or the list has changed
         self.doubt = False  # reports are held to be late
         self.doubt_until = 0
         self.doubts = 0  # in a row
@@ -264,6 +269,7 @@
         for worker in sorted(self.workers.values(), key=lambda w: (w.weight, w.id)):
             at = dealt[worker.area] = dealt.get(worker.area, -1) + 1
             worker.circle = (worker.area, at % counts.get(worker.area, 1))
+        self._put_first()
 
     def _tell(self):
         """Tell what own hand-offs hold, in the circles of their workers; and to one random other dispatcher
@@ -312,7 +318,7 @@
             if told_at == when:
                 del self.tales[key]
                 self.workers[key[1]].others -= slots
-                self.stirred = True
+                self.touched.append(self.workers[key[1]])
 
     def _heard(self, event):
         sender, body = event.sender, event.body
@@ -332,12 +338,13 @@
             for worker in self.near.get(bits, ()):
                 if body[0] & TABLE:
                     worker.table, worker.table_at = max(0, slots - worker.busy), now
-                    self.stirred = True
+                    self.touched.append(worker)
                     continue
                 key = (sender, worker.id)
                 before = tales.pop(key, (0, 0))[0]
                 worker.others += slots - before
-                self.stirred = self.stirred or slots < before
+                if slots < before:
+                    self.touched.append(worker)
                 if slots:
                     tales[key] = (slots, now)
                     self.tellings.append((now, key))
@@ -449,13 +456,16 @@
 
     def _serve(self):
         """Give what waits its turn, and see to it that somebody looks again."""
-        if self.queue and self.stirred:
+        touched, self.touched = self.usable if self.look else self.touched, []
+        self.look = False
+        if self.queue and touched:
             # A long queue is not searched for again and again: what has the same needs as one that found no
             # open worker will find none either, and two misses a category end the walk: one by those that
             # still wait for their own area, one by those that do not.
             missed = set()
             misses = 2 * len(self.rows)
-            some_open = any(self._open_slots(worker) > 0 for worker in self.usable)
+            some_open = any(self._open_slots(worker) > 0 or self._wait_at(worker) < NEVER
+                            for worker in touched)
             for wi in sorted(self.queue.values(), key=self._value, reverse=True) if some_open else ():
                 needs = (wi.row, wi.slots, ceil(wi.memory), wi.anchor, self._stays(wi))
                 if needs in missed:
@@ -468,7 +478,6 @@
                 missed.add(needs)
                 if len(missed) >= misses:
                     break
-        self.stirred = False
         if self.queue and not self.beating:
             # One look for each slot likely to come free somewhere, a pause twice as long after each in vain,
             # up to an epoch: many dispatchers that wait would ask for each such slot many times.
@@ -480,8 +489,9 @@
             self.looks = 0
 
     def _beat(self):
-        """Ask the closed worker not heard of for longest."""
+        """Look at all workers, as epochs have passed, and ask the closed one not heard of for longest."""
         self.beating = False
+        self.look = True
         self.looks = min(self.looks + 1, 16)
         if self.queue and self.terms.may_probe and not self.doubt:
             closed = [worker for worker in self.usable if not worker.probing
@@ -560,7 +570,6 @@
         self._advance(wi)
 
     def _answered(self, event):
-        self.stirred = True
         wi = self.items.get(event.wi)
         if wi is None or event.ho >= len(wi.hos):
             return
@@ -584,7 +593,6 @@
             self._end(wi, None)
 
     def _rang(self, event):
-        self.stirred = True
         if event.token == ASK_AGAIN:
             self.actions.append(Subscribe(True))
         elif event.token == BEAT:
@@ -605,10 +613,10 @@
             wi.hos[event.ho].noted = self.now
 
     def _probed(self, event):
-        self.stirred = True
         worker = self.workers.get(event.worker)
         if worker is not None:
             worker.probing = False
+            self.touched.append(worker)
             self._hear(worker, event.report)
             if event.outcome == Outcome.OK:
                 self.ask_time += (event.elapsed - self.ask_time) // 8
@@ -644,7 +652,8 @@
                 if worker.id not in named:
                     worker.standing = Standing.GONE
         self.usable = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
-        self.stirred, self.mixed = True, self.terms.may_tell
+        self._put_first()
+        self.look, self.mixed = True, self.terms.may_tell
         if event.kind == ListKind.CACHED:
             if not self.terms.pushed_list:
                 self.actions.append(Subscribe(True))
@@ -666,26 +675,54 @@
         Where crossing areas has a price, those of this area come first, and a work item waits for one of
         them as long as the chance to be in time that it loses by waiting is worth less than the price.
         """
-        best, choices, weights = -1, [], []
+        first = self.first
+        if len(first) > DRAWS:
+            # Drawn at random and taken by chance, in proportion to its open slots: the same choice as below,
+            # at a cost that does not grow with the fleet.
+            for _ in range(DRAWS):
+                worker = first[int(self.random.random() * len(first))]
+                rank, slots = self._rank(worker, wi)
+                if rank == BEST and self.random.random() * self.most_slots < slots:
+                    return worker
+        choices = None
+        if len(first) < len(self.usable):
+            choices, weights = self._best_open(first, wi, BEST)
+        if not choices:
+            choices, weights = self._best_open(self.usable, wi, 0)
+        return self.random.choices(choices, weights)[0] if choices else None
+
+    def _best_open(self, workers, wi, best):
+        choices, weights = [], []
+        for worker in workers:
+            rank, slots = self._rank(worker, wi)
+            if rank > best:
+                best, choices, weights = rank, [], []
+            if slots and rank == best:
+                choices.append(worker)
+                weights.append(slots)
+        return choices, weights
+
+    def _rank(self, worker, wi):
+        """How good a choice it is, up to BEST, and its open slots; nothing where it is none."""
         crossing = self.terms.area_price > 0
-        stays = self._stays(wi)
+        here = not crossing or worker.area == self.terms.area
         # So many asked in vain are evidence that none is open: silence alone no longer counts.
-        asked_out = wi.asks >= self.terms.most_hand_offs
-        for worker in self.usable:
-            if stays and worker.area != self.terms.area:
-                continue
-            if asked_out and not self._known(worker):
-                continue
-            slots = self._open_slots(worker, wi.slots)
-            if slots > 0 and self._allowed(worker, wi):
-                ranks = slots >= MOST, crossing and worker.area == self.terms.area
-                rank = ranks[self.told] + 2 * ranks[not self.told]
-                if rank > best:
-                    best, choices, weights = rank, [], []
-                if rank == best:
-                    choices.append(worker)
-                    weights.append(slots)
-        return self.random.choices(choices, weights)[0] if choices else None
+        if (not here and self._stays(wi)
+                or wi.asks >= self.terms.most_hand_offs and not self._known(worker)):
+            return -1, 0
+        slots = self._open_slots(worker, wi.slots)
+        if slots <= 0 or not self._allowed(worker, wi):
+            return -1, 0
+        sure = slots >= MOST
+        return (2 * here + sure if self.told else 2 * sure + here), slots
+
+    def _put_first(self):
+        if self.told:
+            self.first = [worker for worker in self.usable if worker.circle == self.circle]
+        elif self.terms.area_price > 0:
+            self.first = [worker for worker in self.usable if worker.area == self.terms.area]
+        else:
+            self.first = self.usable
 
     def _stays(self, wi):
         """Whether it still waits for a worker of this area."""
@@ -815,6 +852,7 @@
     def _learn(self, ho, event):
         worker, wi = ho.worker, ho.wi
         worker.out.remove(ho)
+        self.touched.append(worker)
         worker.loose.append(ho)
         worker.busy -= wi.slots
         worker.memory -= wi.memory
@@ -859,6 +897,7 @@
         worker.waiting = round(report.waiting or 0)
         running = max(0, round(report.held or 0) - worker.waiting)
         worker.slots = max(worker.slots, worker.free + running if worker.free else 0)
+        self.most_slots = max(self.most_slots, worker.slots)
         if worker.slots:
             self.load += (max(0, 1 - worker.free / worker.slots) - self.load) / 32
 
