Weigh the choice by the learned pace of worker kinds, and by slots when blind

Cause: blind, every worker counted with one slot alike, a slow one with two cores like a fast one with three, and got more than it can do. The mean logarithm of running times is learned for each kind that the list names and weighs the choice among open workers.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from math import ceil, exp
+from math import ceil, exp, log
 from random import Random
 from struct import Struct
 
@@ -50,6 +50,7 @@
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
 NEVER = float("inf")
 BEST = 3  # rank of a worker known to be open, where it is best used
+FEW = 8  # running times of a worker kind: with so many, what they tell counts half
 DRAWS = 8  # so many in vain find two open workers in three of a fleet all but once in 6000; then it is walked
 
 
@@ -205,6 +206,9 @@
         self.beating = False
         self.looks = 0  # in vain, in a row
         self.most_slots = 1  # that any worker has shown
+        self.logs = {}  # worker kind -> how many running times were seen, and the mean of their logarithms
+        self.paces = {}  # worker kind -> learned: how much faster than the others
+        self.best_pace = 1.0
         self.load = 0.0  # mean share of slots that reports show taken
         self.memory = 0.0  # mean memory a slot asked
         self.touched = []  # workers that something just came from or about: one may have opened
@@ -682,7 +686,7 @@
             for _ in range(DRAWS):
                 worker = first[int(self.random.random() * len(first))]
                 rank, slots = self._rank(worker, wi)
-                if rank == BEST and self.random.random() * self.most_slots < slots:
+                if rank == BEST and self.random.random() * self.most_slots * self.best_pace < slots:
                     return worker
         choices = None
         if len(first) < len(self.usable):
@@ -703,7 +707,7 @@
         return choices, weights
 
     def _rank(self, worker, wi):
-        """How good a choice it is, up to BEST, and its open slots; nothing where it is none."""
+        """How good a choice it is, up to BEST, and what its open slots can do; nothing where it is none."""
         crossing = self.terms.area_price > 0
         here = not crossing or worker.area == self.terms.area
         # So many asked in vain are evidence that none is open: silence alone no longer counts.
@@ -714,7 +718,7 @@
         if slots <= 0 or not self._allowed(worker, wi):
             return -1, 0
         sure = slots >= MOST
-        return (2 * here + sure if self.told else 2 * sure + here), slots
+        return (2 * here + sure if self.told else 2 * sure + here), slots * self.paces.get(worker.kind, 1.0)
 
     def _put_first(self):
         if self.told:
@@ -757,7 +761,7 @@
             if self.told:  # outside its circle: after all that are known to be open
                 return min(own, MOST / (2 + taken))
             part = max(1, slots / self.terms.dispatchers)
-            return part - taken if taken < part else min(own, MOST / (1 + taken))
+            return slots * (1 - taken / part) if taken < part else min(own, MOST / (1 + taken))
         free = worker.free - worker.since - len(worker.askers)
         if free >= max(asked, slots / 4) and worker.waiting < 1:
             return min(own, free)
@@ -872,11 +876,23 @@
             if ho.direct or not self.run:
                 wi.row.run = moved(wi.row.run, x, 16)
                 self.run = moved(self.run, x, 16)
+                self._learn_pace(worker.kind, log(x / wi.row.run))
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             self._failed(worker)
             if event.outcome == Outcome.FULL and self._shows_room(event.report, wi):
                 self._contradicted()
 
+    def _learn_pace(self, kind, x):
+        """Workers are not alike: where nothing else is known, equal parts swamp the slow ones. Running times
+        are heavy-tailed, so their logarithms are compared, and a few of them say little."""
+        for each in (None, kind):
+            n, mean = self.logs.get(each, (0, 0.0))
+            self.logs[each] = n + 1, mean + (x - mean) / (n + 1)
+        for kind, (n, mean) in self.logs.items():
+            if kind is not None:
+                self.paces[kind] = exp((self.logs[None][1] - mean) * n / (n + FEW))
+        self.best_pace = max(1.0, *self.paces.values())
+
     def _failed(self, worker):
         """Closed an epoch more, twice as long for each further failure in a row, up to an answer from it."""
         worker.shut_until = max(worker.shut_until, self.now + (self.T << min(worker.fails, 4)))
