Hold the report that comes with an answer against the work it answers

Cause: at 1.7 work items a second hardly any report met an own hand-off out at the same worker, so late reports were believed for seconds, and all dispatchers went where they had shown room.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -855,6 +855,9 @@
 
     def _learn(self, ho, event):
         worker, wi = ho.worker, ho.wi
+        # Heard before it is struck out: the report that comes with an answer still has to show the work
+        # answered. One that does not is late, the sign of it that a dispatcher with little traffic sees most.
+        self._hear(worker, event.report)
         worker.out.remove(ho)
         self.touched.append(worker)
         worker.loose.append(ho)
@@ -862,7 +865,6 @@
         worker.memory -= wi.memory
         if self.told:
             self.untold[worker.id] = worker
-        self._hear(worker, event.report)
         if (not worker.out and not self.terms.connection_price
                 and self.gap * len(self.usable) > self.terms.connection_idle):
             # Kept, its connection would time out before it is likely used again; idle ones of hundreds of
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -426,3 +426,22 @@
         d.arrive(wi, after=OPEN_AFTER if wi == 1 else every)
         d.answer(wi, 0, d.sent(wi)[0], after=1)
     assert (it.CloseIdle(d.sent(8)[0]) in d.all) == closes
+
+
+@pytest.mark.parametrize("held, late", [(0.0, True), (1.0, False)])
+def test_a_report_that_comes_with_an_answer_has_to_show_the_work_answered(drive, held, late):
+    d = drive()
+    d.arrive(1, after=OPEN_AFTER)
+    d.answer(1, 0, d.sent(1)[0], after=400, elapsed=400, report=report(1.0, held=held))
+    assert d.dispatcher.doubt == late
+
+
+def test_kinds_of_workers_get_work_by_their_learned_pace(drive):
+    d = drive(workers=[entry(w, kind=w % 2) for w in range(40)])
+    taken = [0, 0]
+    for wi in range(400):
+        d.arrive(wi, after=OPEN_AFTER if wi == 0 else 50)
+        (worker,) = d.sent(wi)
+        taken[worker % 2] += wi >= 100
+        d.answer(wi, 0, worker, after=1, elapsed=100 + 300 * (worker % 2))
+    assert taken[0] > 1.5 * taken[1] > 0
