Do not walk the fleet for work that was asked for in vain

Cause of the cut-off incidents: once a fleet is all closed, every probe's answer walked it for workers just heard of, and circles were made anew for each dispatcher met. Reports are now kept in the order they came and only the newest are looked at, a look takes a random few of a large fleet, circles are made when next needed.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -211,6 +211,7 @@
         self.best_pace = 1.0
         self.load = 0.0  # mean share of slots that reports show taken
         self.memory = 0.0  # mean memory a slot asked
+        self.reports = {}  # workers in the order of their last reports
         self.touched = []  # workers that something just came from or about: one may have opened
         self.look = False  # look at all of them: time has passed, or the list has changed
         self.doubt = False  # reports are held to be late
@@ -235,8 +236,6 @@
         self.doubt = now < self.doubt_until
         if self.tellings:
             self._forget()
-        if self.mixed:
-            self._circles()
         self.actions = []
         for event in events:
             reaction = self.reactions.get(type(event))
@@ -278,6 +277,8 @@
     def _tell(self):
         """Tell what own hand-offs hold, in the circles of their workers; and to one random other dispatcher
         elsewhere all that is held in this circle, for those that cannot find an open worker in their own."""
+        if self.mixed:
+            self._circles()
         changed, self.untold, self.news = list(self.untold.values()), {}, False
         circles = {}
         for worker in changed:
@@ -385,11 +386,21 @@
     def _should_ask(self, worker, wi):
         return wi.asks < self.terms.most_hand_offs and not self._known(worker)
 
+    def _alone(self):
+        """Whether own record and the others' tales are all there is to know, or asking is of no use."""
+        return not self.terms.may_probe or self.terms.dispatchers == 1 or self.doubt or self.told
+
     def _known(self, worker):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
-        terms = self.terms
-        return (not terms.may_probe or terms.dispatchers == 1 or self.doubt or self.told
-                or self.now - worker.heard <= 2 * terms.tick)
+        return self._alone() or self.now - worker.heard <= 2 * self.terms.tick
+
+    def _heard_within(self, age):
+        """The workers with a report that is not older, the newest first."""
+        for worker in reversed(self.reports.values()):
+            if self.now - worker.heard > age:
+                return
+            if worker.standing == Standing.READY:
+                yield worker
 
     def _start_by(self, wi):
         """The last moment at which a hand-off is likely to earn credit."""
@@ -460,7 +471,7 @@
 
     def _serve(self):
         """Give what waits its turn, and see to it that somebody looks again."""
-        touched, self.touched = self.usable if self.look else self.touched, []
+        touched, self.touched = self._some(self.usable) if self.look else self.touched, []
         self.look = False
         if self.queue and touched:
             # A long queue is not searched for again and again: what has the same needs as one that found no
@@ -492,13 +503,17 @@
         elif not self.queue:
             self.looks = 0
 
+    def _some(self, workers):
+        """All of a small fleet, a random few of a large one: a look costs the same."""
+        return workers if len(workers) <= 2 * DRAWS else self.random.sample(workers, DRAWS)
+
     def _beat(self):
         """Look at all workers, as epochs have passed, and ask the closed one not heard of for longest."""
         self.beating = False
         self.look = True
         self.looks = min(self.looks + 1, 16)
         if self.queue and self.terms.may_probe and not self.doubt:
-            closed = [worker for worker in self.usable if not worker.probing
+            closed = [worker for worker in self._some(self.usable) if not worker.probing
                       and worker.shut_until <= self.now and self._open_slots(worker) < 1]
             if closed:
                 self._probe(min(closed, key=lambda worker: worker.heard))
@@ -679,6 +694,13 @@
         Where crossing areas has a price, those of this area come first, and a work item waits for one of
         them as long as the chance to be in time that it loses by waiting is worth less than the price.
         """
+        if self.mixed:
+            self._circles()
+        # So many asked in vain are evidence that none is open: silence alone no longer counts, only those do
+        # that were just heard of. To walk the fleet for those few cost most of the time when all were closed.
+        if wi.asks >= self.terms.most_hand_offs and not self._alone():
+            choices, weights = self._best_open(self._heard_within(2 * self.terms.tick), wi, 0)
+            return self.random.choices(choices, weights)[0] if choices else None
         first = self.first
         if len(first) > DRAWS:
             # Drawn at random and taken by chance, in proportion to its open slots: the same choice as below,
@@ -710,9 +732,7 @@
         """How good a choice it is, up to BEST, and what its open slots can do; nothing where it is none."""
         crossing = self.terms.area_price > 0
         here = not crossing or worker.area == self.terms.area
-        # So many asked in vain are evidence that none is open: silence alone no longer counts.
-        if (not here and self._stays(wi)
-                or wi.asks >= self.terms.most_hand_offs and not self._known(worker)):
+        if not here and self._stays(wi):
             return -1, 0
         slots = self._open_slots(worker, wi.slots)
         if slots <= 0 or not self._allowed(worker, wi):
@@ -776,7 +796,7 @@
     def _random_any(self, wi):
         """With none open: a random worker, passing over those where it would wait too long to be in time."""
         best, choices = wi.due - self.now, []
-        for worker in self.usable:
+        for worker in () if self.doubt or self.told else self._heard_within(self.run or self.T):
             wait = self._wait_at(worker)
             if wait <= best and self._allowed(worker, wi):
                 if wait < best:
@@ -912,6 +932,8 @@
         # Reports are a little noisy: taken as they come, a worker with its one slot free would read 0.97 and
         # stay closed.
         worker.free, worker.heard, worker.since = round(report.free_slots), self.now, 0
+        self.reports.pop(worker.id, None)
+        self.reports[worker.id] = worker
         worker.waiting = round(report.waiting or 0)
         running = max(0, round(report.held or 0) - worker.waiting)
         worker.slots = max(worker.slots, worker.free + running if worker.free else 0)
