Past its due time work yields the last slot; ask outside the circle; tell two ticks later

Cause of the cut-off incident: every hand-off that was turned away within a tick was told, and a worker outside the circle counted as open however full. A hand-off is now told two ticks later, tables go every other time to a near circle; outside the circle a worker is asked, a far one needs a table's word; past its due time a work item takes a slot only where another is open besides.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -40,7 +40,7 @@
 
 # Timer tokens: the next call to discovery, the next look at the waiting work items, the next tale to the
 # other dispatchers; a work item's own count up from there.
-ASK_AGAIN, BEAT, TALE, OWN = 0, 1, 2, 3
+ASK_AGAIN, BEAT, TALE, TELL, OWN = 0, 1, 2, 3, 4
 TOLD = Struct("<HB")  # a worker, by the last bits of its id, and the slots that the teller holds there
 # Beside the teller's area in the first byte: tell me where you are and what you hold; this is all that is
 # held at these workers, whoever holds it.
@@ -141,7 +141,7 @@
     __slots__ = (
         "id", "area", "kind", "pod", "standing", "started_at", "slots", "out", "busy", "since", "loose",
         "memory", "shut_until", "fails", "free", "waiting", "heard", "probing", "askers", "pushed", "others",
-        "told_at", "weight", "circle", "table", "table_at",
+        "told", "told_at", "weight", "circle", "table", "table_at",
     )
 
     def __init__(self, entry, epoch):
@@ -157,7 +157,7 @@
         self.askers = []  # work items that asked for its busy alert
         self.pushed = deque()  # (when, work) sent while it was cold
         self.others = 0  # slots that the other dispatchers say they hold
-        self.told_at = 0  # when the others were last told of own hand-offs here
+        self.told, self.told_at = 0, 0  # what the others were last told of own hand-offs here, and when
         self.circle = None  # those of its area whose dispatchers tell each other
         self.table, self.table_at = 0, NEVER  # slots held by others, as its circle told, and when
         self.list(entry)
@@ -191,11 +191,12 @@
         self.untold = {}  # workers whose own hand-offs changed since the others were told
         self.near = {}  # last bits of an id -> the workers that have them
         self.tales = {}  # (another dispatcher, worker) -> the slots it holds there and when it told so
+        self.tale_life = 8 * SECOND  # learned: so long a tale that is not told again is believed
         self.tellings = deque()  # (when, the same two), to forget what is not told again
         self.met = {}  # another dispatcher -> its area
         self.circle = (terms.area, 0)
         self.peers = {}  # circle -> the other dispatchers in it
-        self.outside = []  # those in other circles
+        self.outside = [], []  # those in other circles, of other areas and of this
         self.mixed = False  # the circles have to be made anew
         affordable = MOST * 256 / TALE_BYTES / terms.message_price if terms.message_price else NEVER
         self.most_fellows = max(1.0, affordable)
@@ -234,16 +235,17 @@
         """What to do about these events, in order."""
         self.now = now
         self.doubt = now < self.doubt_until
-        if self.tellings:
+        if self.tellings and self.tellings[0][0] < now - self.tale_life:
             self._forget()
         self.actions = []
         for event in events:
             reaction = self.reactions.get(type(event))
             if reaction is not None:
                 reaction(event)
-        self._serve()
-        if self.news:
-            self._tell()
+        if self.queue or self.looks:
+            self._serve()
+        elif self.touched:
+            self.touched = []
         return self.actions
 
     # ---- messages between dispatchers, where allowed: own record is each one's best knowledge
@@ -256,7 +258,7 @@
         areas = {self.terms.area: [self.terms.me]}
         for peer, area in self.met.items():
             areas.setdefault(area, []).append(peer)
-        counts, self.peers, self.outside = {}, {}, []
+        counts, self.peers, self.outside = {}, {}, ([], [])
         for area, peers in areas.items():
             counts[area] = max(1, ceil(len(peers) / self.most_fellows))
             for at, peer in enumerate(sorted(peers)):
@@ -267,7 +269,7 @@
                     self.peers.setdefault(circle, []).append(peer)
         for circle, peers in self.peers.items():
             if circle != self.circle:
-                self.outside += peers
+                self.outside[circle[0] == self.terms.area].extend(peers)
         dealt = {}
         for worker in sorted(self.workers.values(), key=lambda w: (w.weight, w.id)):
             at = dealt[worker.area] = dealt.get(worker.area, -1) + 1
@@ -279,18 +281,23 @@
         elsewhere all that is held in this circle, for those that cannot find an open worker in their own."""
         if self.mixed:
             self._circles()
-        changed, self.untold, self.news = list(self.untold.values()), {}, False
+        old = self.now - self.tale_life // 2
+        changed = [worker for worker in self.untold.values()
+                   if worker.busy != worker.told or worker.busy and worker.told_at < old]
+        self.untold, self.news = {}, False
+        if not changed:
+            return
         circles = {}
         for worker in changed:
-            worker.told_at = self.now
+            worker.told, worker.told_at = worker.busy, self.now
             circles.setdefault(worker.circle, []).append(worker)
         for circle, workers in circles.items():
             for body in self._tale(workers):
                 self.actions += [Tell(peer, body) for peer in self.peers.get(circle, ())]
-        if self.outside:
-            mine = [w for w in self.usable if w.circle == self.circle]
-            peer = self.random.choice(self.outside)
-            self.actions += [Tell(peer, body) for body in self._tale(mine, TABLE)]
+        outside = [peers for peers in self.outside if peers]
+        if outside:
+            peer = self.random.choice(self.random.choice(outside))
+            self.actions += [Tell(peer, body) for body in self._tale(self.first, TABLE)]
 
     def _tale(self, workers, what=0):
         for at in range(0, len(workers), 80):
@@ -300,23 +307,21 @@
 
     def _retell(self):
         """Slots that came free are told with the next hand-off or here; what lasts is, before it is lost."""
-        life = self._tale_life() // 2
+        life = self.tale_life // 2
         held = [w for w in self.workers.values() if w.out]
         for worker in held:
             if self.now - worker.told_at > life:
                 self.untold[worker.id] = worker
-        self.news = bool(self.untold)
+        if self.untold and not self.news:
+            self._tell()
         self.tale_due = bool(held)
         if held:
             self.actions.append(SetTimer(int(self.run or self.T), TALE))
 
-    def _tale_life(self):
+    def _forget(self):
         """A tale not told again says nothing any more once work of that age is rare: its teller died, or the
         message that took it back was lost."""
-        return 8 * int(self.run or self.T)
-
-    def _forget(self):
-        last = self.now - self._tale_life()
+        last = self.now - self.tale_life
         while self.tellings and self.tellings[0][0] < last:
             when, key = self.tellings.popleft()
             slots, told_at = self.tales.get(key, (0, 0))
@@ -337,10 +342,9 @@
             here = [w for w in self.workers.values() if w.out and w.area == area]
             tales = list(self._tale(here)) or [bytes([self.terms.area])]
             self.actions += [Tell(sender, tale) for tale in tales]
-        tales, now = self.tales, self.now
-        for at in range(1, len(body) - TOLD.size + 1, TOLD.size):
-            bits, slots = TOLD.unpack_from(body, at)
-            for worker in self.near.get(bits, ()):
+        tales, now, near = self.tales, self.now, self.near
+        for bits, slots in TOLD.iter_unpack(body[1:len(body) - (len(body) - 1) % TOLD.size]):
+            for worker in near.get(bits, ()):
                 if body[0] & TABLE:
                     worker.table, worker.table_at = max(0, slots - worker.busy), now
                     self.touched.append(worker)
@@ -387,12 +391,13 @@
         return wi.asks < self.terms.most_hand_offs and not self._known(worker)
 
     def _alone(self):
-        """Whether own record and the others' tales are all there is to know, or asking is of no use."""
-        return not self.terms.may_probe or self.terms.dispatchers == 1 or self.doubt or self.told
+        """Whether own record is all there is to know, or asking is of no use."""
+        return not self.terms.may_probe or self.terms.dispatchers == 1 or self.doubt and not self.told
 
     def _known(self, worker):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
-        return self._alone() or self.now - worker.heard <= 2 * self.terms.tick
+        return (self._alone() or self.now - worker.heard <= 2 * self.terms.tick
+                or self._others(worker) is not None)
 
     def _heard_within(self, age):
         """The workers with a report that is not older, the newest first."""
@@ -512,8 +517,9 @@
         self.beating = False
         self.look = True
         self.looks = min(self.looks + 1, 16)
-        if self.queue and self.terms.may_probe and not self.doubt:
-            closed = [worker for worker in self._some(self.usable) if not worker.probing
+        if self.queue and self.terms.may_probe and (self.told or not self.doubt):
+            closed = [worker for worker in self._some(self.usable)
+                      if not worker.probing and not (self.told and self._others(worker) is not None)
                       and worker.shut_until <= self.now and self._open_slots(worker) < 1]
             if closed:
                 self._probe(min(closed, key=lambda worker: worker.heard))
@@ -546,7 +552,10 @@
         worker.memory += wi.memory
         if self.told:
             self.untold[worker.id] = worker
-            self.news = True
+            if not self.news:
+                # Not at once: what is turned away is answered within two ticks, and need not be told at all.
+                self.news = True
+                self.actions.append(SetTimer(2 * self.terms.tick, TELL))
             if not self.tale_due:
                 self.tale_due = True
                 self.actions.append(SetTimer(int(self.run or self.T), TALE))
@@ -618,6 +627,8 @@
             self._beat()
         elif event.token == TALE:
             self._retell()
+        elif event.token == TELL:
+            self._tell()
         else:
             wi = self.timers.pop(event.token)
             if type(wi) is Out:
@@ -698,11 +709,10 @@
             self._circles()
         # So many asked in vain are evidence that none is open: silence alone no longer counts, only those do
         # that were just heard of. To walk the fleet for those few cost most of the time when all were closed.
+        first, rest = self.first, self.usable
         if wi.asks >= self.terms.most_hand_offs and not self._alone():
-            choices, weights = self._best_open(self._heard_within(2 * self.terms.tick), wi, 0)
-            return self.random.choices(choices, weights)[0] if choices else None
-        first = self.first
-        if len(first) > DRAWS:
+            first, rest = first if self.told else (), self._heard_within(2 * self.terms.tick)
+        elif len(first) > DRAWS:
             # Drawn at random and taken by chance, in proportion to its open slots: the same choice as below,
             # at a cost that does not grow with the fleet.
             for _ in range(DRAWS):
@@ -711,10 +721,10 @@
                 if rank == BEST and self.random.random() * self.most_slots * self.best_pace < slots:
                     return worker
         choices = None
-        if len(first) < len(self.usable):
+        if first is not rest:
             choices, weights = self._best_open(first, wi, BEST)
         if not choices:
-            choices, weights = self._best_open(self.usable, wi, 0)
+            choices, weights = self._best_open(rest, wi, 0)
         return self.random.choices(choices, weights)[0] if choices else None
 
     def _best_open(self, workers, wi, best):
@@ -734,7 +744,10 @@
         here = not crossing or worker.area == self.terms.area
         if not here and self._stays(wi):
             return -1, 0
-        slots = self._open_slots(worker, wi.slots)
+        # Past its due time it yields: others may have work in time for the last slot, and only where slots
+        # are short is there none besides.
+        spare = self.now > wi.due and worker.slots > wi.slots
+        slots = self._open_slots(worker, wi.slots + spare)
         if slots <= 0 or not self._allowed(worker, wi):
             return -1, 0
         sure = slots >= MOST
@@ -776,10 +789,14 @@
         others = self._others(worker)
         if others is not None:
             return own - others if own - others >= asked else 0
-        if worker.free is None or not self._is_fresh(worker):
+        fresh = worker.free is not None and self._is_fresh(worker)
+        if not fresh and self.told:
+            # Outside its circle: after all that are known to be open, and never unasked. The answer may be
+            # old, but the queues of an overloaded fleet last. Crossing has a price: only on a table's word.
+            crosses = self.terms.area_price > 0 and worker.area != self.terms.area
+            return 0 if crosses else min(own, MOST / (2 + taken))
+        if not fresh:
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
-            if self.told:  # outside its circle: after all that are known to be open
-                return min(own, MOST / (2 + taken))
             part = max(1, slots / self.terms.dispatchers)
             return slots * (1 - taken / part) if taken < part else min(own, MOST / (1 + taken))
         free = worker.free - worker.since - len(worker.askers)
@@ -791,7 +808,7 @@
 
     def _is_fresh(self, worker):
         """Whether its last report still says something: younger than work items commonly run."""
-        return not self.doubt and self.now - worker.heard < (self.run or self.T)
+        return (self.told or not self.doubt) and self.now - worker.heard < (self.run or self.T)
 
     def _random_any(self, wi):
         """With none open: a random worker, passing over those where it would wait too long to be in time."""
@@ -898,6 +915,7 @@
             if ho.direct or not self.run:
                 wi.row.run = moved(wi.row.run, x, 16)
                 self.run = moved(self.run, x, 16)
+                self.tale_life = 8 * int(self.run)
                 self._learn_pace(worker.kind, log(x / wi.row.run))
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
             self._failed(worker)
