A worker that no table has shown yet is unknown, not wholly open

Cause: the time of the first table was set to never in the wrong direction, so a worker outside the circle counted as held by nobody until its first table.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -159,7 +159,7 @@
         self.others = 0  # slots that the other dispatchers say they hold
         self.told, self.told_at = 0, 0  # what the others were last told of own hand-offs here, and when
         self.circle = None  # those of its area whose dispatchers tell each other
-        self.table, self.table_at = 0, NEVER  # slots held by others, as its circle told, and when
+        self.table, self.table_at = 0, -NEVER  # slots held by others, as its circle told, and when
         self.list(entry)
         self.restart(epoch)
 
