Use cold workers by chance where a dispatcher's part of their budget admits nothing

Cause: the budget of a cold worker over 59 to 492 dispatchers admits no work item until it is warm, so restarted and added workers stayed unused for the whole warm-up. One draw a window now admits one work item, so seldom that all together are expected to send half the budget.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -141,7 +141,7 @@
     __slots__ = (
         "id", "area", "kind", "pod", "standing", "started_at", "slots", "out", "busy", "since", "loose",
         "memory", "shut_until", "fails", "free", "waiting", "heard", "probing", "askers", "pushed", "others",
-        "told", "told_at", "weight", "circle", "table", "table_at",
+        "told", "told_at", "drawn_at", "granted", "weight", "circle", "table", "table_at",
     )
 
     def __init__(self, entry, epoch):
@@ -156,6 +156,7 @@
         self.probing = False
         self.askers = []  # work items that asked for its busy alert
         self.pushed = deque()  # (when, work) sent while it was cold
+        self.drawn_at, self.granted = -NEVER, False  # whether this window's draw admits one
         self.others = 0  # slots that the other dispatchers say they hold
         self.told, self.told_at = 0, 0  # what the others were last told of own hand-offs here, and when
         self.circle = None  # those of its area whose dispatchers tell each other
@@ -671,8 +672,11 @@
                 worker = self.workers[entry.worker] = Worker(
                     entry, self.now + int(self.T * self.random.random()))
                 self.near.setdefault(entry.worker & 0xFFFF, []).append(worker)
-                if self.terms.may_probe and entry.standing == Standing.READY:
-                    self._probe(worker)  # how many slots it has is known before its first epoch
+                # How many slots it has is known before its first epoch, where no question comes before the first
+                # hand-off. To ask all at the start as well costs hundreds of dispatchers two probes a work item.
+                if (self.terms.may_probe and entry.standing == Standing.READY
+                        and (self.terms.may_tell or self.terms.dispatchers == 1)):
+                    self._probe(worker)
             else:
                 if entry.started_at != worker.started_at:
                     worker.restart(self.now + int(self.T * self.random.random()))
@@ -879,7 +883,15 @@
             pushed.popleft()
         budget = terms.push_multiple * part * self._least_slots(worker) * terms.push_window
         budget /= terms.dispatchers
-        return sum(work for _, work in pushed) + self._work(wi) <= budget
+        work = self._work(wi)
+        if work <= budget:
+            return sum(work for _, work in pushed) + work <= budget
+        # With many dispatchers one's part of the budget admits no work item, and cold workers would stay
+        # unused. By chance, then: one a window at most, so that all together likely send half of it.
+        if self.now - worker.drawn_at >= terms.push_window:
+            worker.drawn_at = self.now
+            worker.granted = self.random.random() * 2 * work < budget
+        return worker.granted and not pushed
 
     def _least_slots(self, worker):
         """The slots it is sure to have: the most it has shown, else the fewest that another shows at best."""
