--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -213,6 +213,7 @@
         self.best_pace = 1.0
         self.load = 0.0  # mean share of slots that reports show taken
         self.memory = 0.0  # mean memory a slot asked
+        self.tables = {}  # workers in the order of their last tables
         self.reports = {}  # workers in the order of their last reports
         self.touched = []  # workers that something just came from or about: one may have opened
         self.look = False  # look at all of them: time has passed, or the list has changed
@@ -348,6 +349,8 @@
             for worker in near.get(bits, ()):
                 if body[0] & TABLE:
                     worker.table, worker.table_at = max(0, slots - worker.busy), now
+                    self.tables.pop(worker.id, None)
+                    self.tables[worker.id] = worker
                     self.touched.append(worker)
                     continue
                 key = (sender, worker.id)
@@ -365,7 +368,7 @@
             return None
         if worker.circle == self.circle:
             return worker.others
-        return worker.table if self.now - worker.table_at < (self.run or self.T) else None
+        return worker.table if self.now - worker.table_at <= self.tale_life // 2 else None
 
     # ---- the course of one work item
 
@@ -400,6 +403,14 @@
         return (self._alone() or self.now - worker.heard <= 2 * self.terms.tick
                 or self._others(worker) is not None)
 
+    def _tabled(self):
+        """The workers outside its circle that a table speaks of."""
+        for worker in reversed(self.tables.values()):
+            if self.now - worker.table_at > self.tale_life // 2:
+                return
+            if worker.standing == Standing.READY and self.now - worker.heard > 2 * self.terms.tick:
+                yield worker
+
     def _heard_within(self, age):
         """The workers with a report that is not older, the newest first."""
         for worker in reversed(self.reports.values()):
@@ -672,8 +683,8 @@
                 worker = self.workers[entry.worker] = Worker(
                     entry, self.now + int(self.T * self.random.random()))
                 self.near.setdefault(entry.worker & 0xFFFF, []).append(worker)
-                # How many slots it has is known before its first epoch, where no question comes before the first
-                # hand-off. To ask all at the start as well costs hundreds of dispatchers two probes a work item.
+                # How many slots it has is known before its first epoch, where no question comes before the
+                # first hand-off; elsewhere it would cost hundreds of dispatchers two probes a work item.
                 if (self.terms.may_probe and entry.standing == Standing.READY
                         and (self.terms.may_tell or self.terms.dispatchers == 1)):
                     self._probe(worker)
@@ -715,7 +726,8 @@
         # that were just heard of. To walk the fleet for those few cost most of the time when all were closed.
         first, rest = self.first, self.usable
         if wi.asks >= self.terms.most_hand_offs and not self._alone():
-            first, rest = first if self.told else (), self._heard_within(2 * self.terms.tick)
+            first, rest = first if self.told else (), list(self._heard_within(2 * self.terms.tick))
+            rest += self._tabled()
         elif len(first) > DRAWS:
             # Drawn at random and taken by chance, in proportion to its open slots: the same choice as below,
             # at a cost that does not grow with the fleet.
