With its circle full, a dispatcher asks another circle's for its table

Now a near and a far dispatcher are asked for their tables, nothing outside the circle counts as open without one, tables are no longer sent unasked.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -43,8 +43,8 @@
 ASK_AGAIN, BEAT, TALE, TELL, OWN = 0, 1, 2, 3, 4
 TOLD = Struct("<HB")  # a worker, by the last bits of its id, and the slots that the teller holds there
 # Beside the teller's area in the first byte: tell me where you are and what you hold; this is all that is
-# held at these workers, whoever holds it.
-HELLO, TABLE = 0x80, 0x40
+# held at these workers, whoever holds it; tell me that of your circle.
+HELLO, TABLE, WANT = 0x80, 0x40, 0x20
 TALE_BYTES = 16  # of a short message, its head included
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
@@ -213,7 +213,6 @@
         self.best_pace = 1.0
         self.load = 0.0  # mean share of slots that reports show taken
         self.memory = 0.0  # mean memory a slot asked
-        self.tables = {}  # workers in the order of their last tables
         self.reports = {}  # workers in the order of their last reports
         self.touched = []  # workers that something just came from or about: one may have opened
         self.look = False  # look at all of them: time has passed, or the list has changed
@@ -279,8 +278,7 @@
         self._put_first()
 
     def _tell(self):
-        """Tell what own hand-offs hold, in the circles of their workers; and to one random other dispatcher
-        elsewhere all that is held in this circle, for those that cannot find an open worker in their own."""
+        """Tell what own hand-offs hold, in the circles of their workers."""
         if self.mixed:
             self._circles()
         old = self.now - self.tale_life // 2
@@ -296,10 +294,16 @@
         for circle, workers in circles.items():
             for body in self._tale(workers):
                 self.actions += [Tell(peer, body) for peer in self.peers.get(circle, ())]
-        outside = [peers for peers in self.outside if peers]
-        if outside:
-            peer = self.random.choice(self.random.choice(outside))
-            self.actions += [Tell(peer, body) for body in self._tale(self.first, TABLE)]
+
+    def _want(self):
+        """With none open in its circle: ask a dispatcher of another for its table. A worker's own report may
+        be a second old, and hundreds of dispatchers that believe the same one swamp its worker."""
+        far, near = self.outside
+        groups = [near] if near else []
+        if far and not (near and all(self._stays(wi) for wi in self.queue.values())):
+            groups.append(far)
+        for group in groups:
+            self.actions.append(Tell(self.random.choice(group), bytes([self.terms.area | WANT])))
 
     def _tale(self, workers, what=0):
         for at in range(0, len(workers), 80):
@@ -336,7 +340,7 @@
         sender, body = event.sender, event.body
         if not body:
             return
-        area = body[0] & ~(HELLO | TABLE)
+        area = body[0] & ~(HELLO | TABLE | WANT)
         if sender not in self.met:
             self.met[sender] = area
             self.told = self.mixed = True
@@ -344,13 +348,13 @@
             here = [w for w in self.workers.values() if w.out and w.area == area]
             tales = list(self._tale(here)) or [bytes([self.terms.area])]
             self.actions += [Tell(sender, tale) for tale in tales]
+        if body[0] & WANT:
+            self.actions += [Tell(sender, tale) for tale in self._tale(self.first, TABLE)]
         tales, now, near = self.tales, self.now, self.near
         for bits, slots in TOLD.iter_unpack(body[1:len(body) - (len(body) - 1) % TOLD.size]):
             for worker in near.get(bits, ()):
                 if body[0] & TABLE:
                     worker.table, worker.table_at = max(0, slots - worker.busy), now
-                    self.tables.pop(worker.id, None)
-                    self.tables[worker.id] = worker
                     self.touched.append(worker)
                     continue
                 key = (sender, worker.id)
@@ -368,7 +372,7 @@
             return None
         if worker.circle == self.circle:
             return worker.others
-        return worker.table if self.now - worker.table_at <= self.tale_life // 2 else None
+        return worker.table if self.now - worker.table_at < (self.run or self.T) else None
 
     # ---- the course of one work item
 
@@ -395,21 +399,12 @@
         return wi.asks < self.terms.most_hand_offs and not self._known(worker)
 
     def _alone(self):
-        """Whether own record is all there is to know, or asking is of no use."""
-        return not self.terms.may_probe or self.terms.dispatchers == 1 or self.doubt and not self.told
+        """Whether own record and the others' tales are all there is to know, or asking is of no use."""
+        return not self.terms.may_probe or self.terms.dispatchers == 1 or self.doubt or self.told
 
     def _known(self, worker):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
-        return (self._alone() or self.now - worker.heard <= 2 * self.terms.tick
-                or self._others(worker) is not None)
-
-    def _tabled(self):
-        """The workers outside its circle that a table speaks of."""
-        for worker in reversed(self.tables.values()):
-            if self.now - worker.table_at > self.tale_life // 2:
-                return
-            if worker.standing == Standing.READY and self.now - worker.heard > 2 * self.terms.tick:
-                yield worker
+        return self._alone() or self.now - worker.heard <= 2 * self.terms.tick
 
     def _heard_within(self, age):
         """The workers with a report that is not older, the newest first."""
@@ -512,11 +507,15 @@
                     break
         if self.queue and not self.beating:
             # One look for each slot likely to come free somewhere, a pause twice as long after each in vain,
-            # up to an epoch: many dispatchers that wait would ask for each such slot many times.
+            # up to an epoch: many dispatchers that wait would ask for each such slot many times. Tables show
+            # many workers at once, and age faster.
             self.beating = True
+            if self.told and not self.looks:
+                self._want()
             slots = sum(worker.slots or 1 for worker in self.usable) or 1
             pause = max(2 * self.terms.tick, int((self.run or self.T) / slots)) << self.looks
-            self.actions.append(SetTimer(max(2 * self.terms.tick, min(pause, self.T)), BEAT))
+            longest = min(self.T, self.run / 4) if self.told else self.T
+            self.actions.append(SetTimer(max(2 * self.terms.tick, int(min(pause, longest))), BEAT))
         elif not self.queue:
             self.looks = 0
 
@@ -529,9 +528,10 @@
         self.beating = False
         self.look = True
         self.looks = min(self.looks + 1, 16)
-        if self.queue and self.terms.may_probe and (self.told or not self.doubt):
-            closed = [worker for worker in self._some(self.usable)
-                      if not worker.probing and not (self.told and self._others(worker) is not None)
+        if self.queue and self.told:
+            self._want()
+        elif self.queue and self.terms.may_probe and not self.doubt:
+            closed = [worker for worker in self._some(self.usable) if not worker.probing
                       and worker.shut_until <= self.now and self._open_slots(worker) < 1]
             if closed:
                 self._probe(min(closed, key=lambda worker: worker.heard))
@@ -726,8 +726,7 @@
         # that were just heard of. To walk the fleet for those few cost most of the time when all were closed.
         first, rest = self.first, self.usable
         if wi.asks >= self.terms.most_hand_offs and not self._alone():
-            first, rest = first if self.told else (), list(self._heard_within(2 * self.terms.tick))
-            rest += self._tabled()
+            first, rest = (), list(self._heard_within(2 * self.terms.tick))
         elif len(first) > DRAWS:
             # Drawn at random and taken by chance, in proportion to its open slots: the same choice as below,
             # at a cost that does not grow with the fleet.
@@ -805,13 +804,9 @@
         others = self._others(worker)
         if others is not None:
             return own - others if own - others >= asked else 0
-        fresh = worker.free is not None and self._is_fresh(worker)
-        if not fresh and self.told:
-            # Outside its circle: after all that are known to be open, and never unasked. The answer may be
-            # old, but the queues of an overloaded fleet last. Crossing has a price: only on a table's word.
-            crosses = self.terms.area_price > 0 and worker.area != self.terms.area
-            return 0 if crosses else min(own, MOST / (2 + taken))
-        if not fresh:
+        if self.told:
+            return 0  # outside its circle, and no table speaks of it
+        if worker.free is None or not self._is_fresh(worker):
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
             part = max(1, slots / self.terms.dispatchers)
             return slots * (1 - taken / part) if taken < part else min(own, MOST / (1 + taken))
@@ -824,7 +819,7 @@
 
     def _is_fresh(self, worker):
         """Whether its last report still says something: younger than work items commonly run."""
-        return (self.told or not self.doubt) and self.now - worker.heard < (self.run or self.T)
+        return not self.doubt and self.now - worker.heard < (self.run or self.T)
 
     def _random_any(self, wi):
         """With none open: a random worker, passing over those where it would wait too long to be in time."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -263,21 +263,26 @@
     d = drive(workers=(entry(worker, area=worker - 1),), dispatchers=100, may_tell=True, message_price=price)
     d.do(*(it.Heard(peer, bytes([peer > 60])) for peer in range(1, 100)), after=OPEN_AFTER)
     d.arrive(1)
+    d.do(it.Heard(99, bytes([0x41, worker, 0, 0])))  # a table shows it open
+    d.all = [a for a in d.all if type(a) is not it.Tell]
     d.do(after=5)
     tales = [(to, body) for to, body in told(d.all) if to >= 0 and not body[0] & TABLE]
     assert most / 2 < len(tales) <= most and all((to > 60) == (worker == 2) for to, _ in tales)
 
 
-def test_a_circle_tells_one_other_dispatcher_all_that_it_holds(drive):
-    d = drive(workers=(entry(1), entry(2, area=1)), dispatchers=3, may_tell=True, area_price=0.1)
+def test_with_its_circle_full_it_asks_another_for_its_table(drive):
+    d = drive(workers=(entry(1), entry(2, area=1)), dispatchers=3, may_tell=True, area_price=0.1,
+              category={"due_time": 1000 * MS})
     d.do(it.Heard(1, b"\x00"), it.Heard(2, b"\x01"), after=OPEN_AFTER)
-    d.do(it.Heard(1, b"\x00\x01\x00\x02"))
-    d.dispatcher.workers[1].slots = 4
-    d.arrive(1)
-    d.do(after=5)
-    assert (2, b"\x40\x01\x00\x03") in told(d.all)
-    d.do(it.Heard(2, b"\x41\x02\x00\x05"))
-    assert d.dispatcher._open_slots(d.dispatcher.workers[2]) == 0
+    for worker in (1, 2):
+        d.dispatcher.workers[worker].slots = 4
+    d.do(it.Heard(1, b"\x00\x01\x00\x04"))
+    assert (2, b"\x20") in told(d.arrive(1)) and d.sent(1) == []  # full, and nothing known of the other
+    d.do(it.Heard(2, b"\x41\x02\x00\x04"), after=200)
+    assert d.sent(1) == []
+    d.do(it.Heard(2, b"\x41\x02\x00\x03"))
+    assert d.sent(1) == [2]
+    assert (2, b"\x40\x01\x00\x04") in told(d.do(it.Heard(2, b"\x21")))
 
 
 def test_a_tale_not_told_again_is_forgotten(drive):
@@ -473,20 +478,6 @@
     assert (d.sent(1) == [1]) == sent
 
 
-@pytest.mark.parametrize("area, price, asked", [(0, 0.1, True), (1, 0.1, False), (1, 0.0, True)])
-def test_a_worker_outside_the_circle_is_asked_and_a_far_one_needs_a_table(drive, area, price, asked):
-    d = drive(workers=(entry(1), entry(2, area=area)), dispatchers=30, may_tell=True, may_probe=True,
-              message_price=0.1, area_price=price)
-    d.do(*(it.Probed(w, MS, Outcome.OK, report(2.0)) for w in (1, 2)), after=2)
-    d.do(*(it.Heard(peer, bytes([peer % 2])) for peer in range(1, 30)), after=OPEN_AFTER)
-    d.dispatcher._circles()
-    mine = next(w for w in d.dispatcher.workers.values() if w.circle == d.dispatcher.circle)
-    d.do(*(it.Heard(peer, b"\x00" + bytes([mine.id]) + b"\x00\x09") for peer in range(2, 30, 2)))
-    d.all.clear()
-    d.arrive(1)
-    assert any(type(a) is it.Probe and a.worker != mine.id for a in d.all) == asked and d.sent(1) == []
-
-
 def test_many_dispatchers_use_a_cold_worker_by_chance_within_their_budget_together(drive):
     sent = 0
     for seed in range(200):
