--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -675,7 +675,7 @@
             return
         if event.kind != ListKind.CACHED:
             self.refusals = 0
-        named = set()
+        named, new = set(), []
         for entry in event.entries:
             named.add(entry.worker)
             worker = self.workers.get(entry.worker)
@@ -683,11 +683,8 @@
                 worker = self.workers[entry.worker] = Worker(
                     entry, self.now + int(self.T * self.random.random()))
                 self.near.setdefault(entry.worker & 0xFFFF, []).append(worker)
-                # How many slots it has is known before its first epoch, where no question comes before the
-                # first hand-off; elsewhere it would cost hundreds of dispatchers two probes a work item.
-                if (self.terms.may_probe and entry.standing == Standing.READY
-                        and (self.terms.may_tell or self.terms.dispatchers == 1)):
-                    self._probe(worker)
+                if entry.standing == Standing.READY:
+                    new.append(worker)
             else:
                 if entry.started_at != worker.started_at:
                     worker.restart(self.now + int(self.T * self.random.random()))
@@ -696,6 +693,12 @@
             for worker in self.workers.values():
                 if worker.id not in named:
                     worker.standing = Standing.GONE
+        if self.terms.may_probe:
+            # How many slots new workers have is known before their first epoch: asked only before a hand-off,
+            # it is not while reports are late. Of a large fleet a few are asked, unless others tell: to ask all
+            # cost hundreds of dispatchers two probes a work item.
+            for worker in new if self.terms.may_tell else self._some(new):
+                self._probe(worker)
         self.usable = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
         self._put_first()
         self.look, self.mixed = True, self.terms.may_tell
