--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -225,6 +225,7 @@
         self.run = 0.0  # mean running time, over all categories
         self.gap = 0.0  # mean time between own hand-offs
         self.last_sent = 0
+        self.asking_again = False
         self.refusals = 0  # failed calls to discovery in a row
         self.reactions = {
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
@@ -634,6 +635,7 @@
 
     def _rang(self, event):
         if event.token == ASK_AGAIN:
+            self.asking_again = False
             self.actions.append(Subscribe(True))
         elif event.token == BEAT:
             self._beat()
@@ -695,8 +697,8 @@
                     worker.standing = Standing.GONE
         if self.terms.may_probe:
             # How many slots new workers have is known before their first epoch: asked only before a hand-off,
-            # it is not while reports are late. Of a large fleet a few are asked, unless others tell: to ask all
-            # cost hundreds of dispatchers two probes a work item.
+            # it is not while reports are late. Of a large fleet a few are asked, unless others tell; all of
+            # them cost hundreds of dispatchers two probes a work item.
             for worker in new if self.terms.may_tell else self._some(new):
                 self._probe(worker)
         self.usable = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
@@ -710,6 +712,9 @@
 
     def _ask_again(self):
         """Discovery failed: ask again after a randomised pause that grows, so that instances spread out."""
+        if self.asking_again:
+            return  # a second failed notice before the pause ends: one call more is one subscription too many
+        self.asking_again = True
         self.refusals += 1
         longest = self.terms.ask_every / 4
         pause = min(longest, self.terms.connect_timeout * 2 ** min(self.refusals, 16))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -498,3 +498,11 @@
 def test_a_few_of_a_large_fleet_are_asked_at_the_start(drive, fleet, told, asked):
     d = drive(workers=[entry(w) for w in range(fleet)], dispatchers=300, may_probe=True, may_tell=told)
     assert sum(type(a) is it.Probe for a in d.all) == asked
+
+
+def test_two_failed_notices_lead_to_one_call(drive):
+    d = drive(pushed_list=False)
+    for _ in range(2):
+        d.do(it.Listed(it.ListKind.FAILED, 0, ()), after=1)
+    d.do(after=2000)
+    assert d.all.count(it.Subscribe(True)) == 2  # at the start, and again
