--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -515,7 +515,7 @@
                 self._want()
             slots = sum(worker.slots or 1 for worker in self.usable) or 1
             pause = max(2 * self.terms.tick, int((self.run or self.T) / slots)) << self.looks
-            longest = min(self.T, self.run / 4) if self.told else self.T
+            longest = min(self.T, (self.run or self.T) / 4) if self.told else self.T
             self.actions.append(SetTimer(max(2 * self.terms.tick, int(min(pause, longest))), BEAT))
         elif not self.queue:
             self.looks = 0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -506,3 +506,13 @@
         d.do(it.Listed(it.ListKind.FAILED, 0, ()), after=1)
     d.do(after=2000)
     assert d.all.count(it.Subscribe(True)) == 2  # at the start, and again
+
+
+def test_looks_for_tables_grow_apart_before_anything_is_learned(drive):
+    d = drive(dispatchers=3, may_tell=True, area_price=0.1, category={"due_time": 3000 * MS})
+    d.do(it.Heard(1, b"\x00"), it.Heard(2, b"\x01"), after=OPEN_AFTER)
+    d.do(it.Heard(1, b"\x00\x01\x00\x09\x02\x00\x09"))
+    d.all.clear()
+    d.arrive(1)
+    d.do(after=2000)
+    assert 1 < sum(body == b"\x20" for _, body in told(d.all)) < 20
