--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -492,13 +492,14 @@
             # still wait for their own area, one by those that do not.
             missed = set()
             misses = 2 * len(self.rows)
-            some_open = any(self._open_slots(worker) > 0 or self._wait_at(worker) < NEVER
-                            for worker in touched)
-            for wi in sorted(self.queue.values(), key=self._value, reverse=True) if some_open else ():
+            opened = [worker for worker in dict.fromkeys(touched)
+                      if self._open_slots(worker) > 0 or self._wait_at(worker) < NEVER]
+            for wi in sorted(self.queue.values(), key=self._value, reverse=True) if opened else ():
                 needs = (wi.row, wi.slots, ceil(wi.memory), wi.anchor, self._stays(wi))
                 if needs in missed:
                     continue
-                if self._pick(wi) is not None:
+                if (any(self._rank(worker, wi)[1] > 0 or self._wait_at(worker) < NEVER for worker in opened)
+                        and self._pick(wi) is not None):
                     self.looks = 0
                     del self.queue[wi.id]
                     self._advance(wi)
