Serve on real sockets: asyncio streams and h11 round the decision module

The settings' reader serves the wire's lines and the JSON. A planned stop is an event to the module.

--- a/heronwinch/benchlink/__main__.py
+++ b/heronwinch/benchlink/__main__.py
@@ -5,7 +5,7 @@
 
 from heronwinch.benchlink.codec import FrameError, read_frame
 from heronwinch.benchlink.host import Host
-from heronwinch.benchlink.settings import SettingsError
+from heronwinch.terms import SettingsError
 
 
 def main() -> int:
--- a/heronwinch/benchlink/codec.py
+++ b/heronwinch/benchlink/codec.py
@@ -3,7 +3,7 @@
 from struct import Struct, error
 
 from heronwinch import interface as it
-from heronwinch.benchlink.settings import load_fields
+from heronwinch.terms import from_lines, load_fields
 
 BATCH = Struct("<IIQ")
 REPLY = Struct("<I")
@@ -129,7 +129,7 @@
         except UnicodeDecodeError:
             raise FrameError("settings are not text") from None
         # Here, not in the host: a report further on in this batch needs the layout already.
-        self.set_layout(instance, load_fields(text))
+        self.set_layout(instance, load_fields(from_lines(text)))
         return instance, Spawned(seed, text)
 
     def _stop(self, frame, at, end):
--- a/heronwinch/benchlink/host.py
+++ b/heronwinch/benchlink/host.py
@@ -1,8 +1,8 @@
 """Hosts one Dispatcher for each instance; they share nothing."""
 
 from heronwinch.benchlink import codec
-from heronwinch.benchlink.settings import read_terms
 from heronwinch.policy import Dispatcher
+from heronwinch.terms import from_lines, read_terms
 
 
 class Host:
@@ -18,7 +18,7 @@
         for instance, event in events:
             if type(event) is codec.Spawned:
                 inbox.pop(instance, None)
-                self.dispatchers[instance] = Dispatcher(read_terms(event.text), event.seed)
+                self.dispatchers[instance] = Dispatcher(read_terms(from_lines(event.text)), event.seed)
             elif type(event) is codec.Stopped:
                 # What the batch brought before the kill is forgotten with the instance.
                 inbox.pop(instance, None)
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -197,6 +197,12 @@
     wi: int
 
 
+class Stopping(NamedTuple):
+    """A planned stop: all that was taken has to be answered within this time."""
+
+    time_left: int
+
+
 class Rang(NamedTuple):
     """A timer came due."""
 
--- /dev/null
+++ b/heronwinch/net/engine.py
@@ -0,0 +1,221 @@
+"""Feeds the module with what happened and carries out what it decides."""
+
+import asyncio
+from random import Random
+
+import structlog
+
+from heronwinch import interface as it
+from heronwinch.net.indices import Indices
+
+log = structlog.get_logger()
+
+MARGIN = 2_000_000  # an answer is on its way so long before the client's time is up
+
+
+class Item:
+    """A work item from its arrival to the last news of its hand-offs."""
+
+    __slots__ = ("number", "job", "client", "effect", "expiry", "hos", "out", "ended", "orphan")
+
+    def __init__(self, number, job, client, effect, expiry):
+        self.number, self.job, self.client, self.effect, self.expiry = number, job, client, effect, expiry
+        self.hos = []
+        self.out = 0
+        self.ended = False
+        self.orphan = False  # the module that handed it off is no more
+
+
+class Engine:
+    """One call of the module at a time: a loop turn's events are gathered and handled together, the actions
+    carried out in their order; what these bring about is for the next call.
+
+    Outside it there are the clients of work items (`finish`, `defer`, `write_off`), the workers (`start`,
+    `cancel`, `probe`, `close_idle`, `listed`) and discovery (`subscribe`, `fetch`)."""
+
+    def __init__(self, make, terms, names, seed, clock, watch):
+        self.make = make
+        self.terms = terms
+        self.names = names
+        self.random = Random(seed)
+        self.clock = clock
+        self.watch = watch
+        self.loop = asyncio.get_running_loop()
+        self.categories = {name: i for i, name in enumerate(names.categories)}
+        self.keys = Indices()
+        self.items = {}
+        self.count = 0
+        self.events = []
+        self.due = False  # a call of the module is due in the next loop turn
+        self.stop_at = None
+        self.workers = None
+        self.discovery = None
+        self.generation = 0  # timers of a module that was given up ring no more
+        self.dispatcher = make(terms, self.random.getrandbits(64))
+        self.carry_out = {
+            it.HandOff: self._hand_off, it.Defer: self._answer, it.WriteOff: self._answer,
+            it.Cancel: self._cancel, it.SetTimer: self._set_timer,
+            it.Probe: lambda a: self.workers.probe(a.worker),
+            it.CloseIdle: lambda a: self.workers.close_idle(a.worker),
+            it.Subscribe: lambda a: self.discovery.subscribe(a.on),
+            it.Fetch: lambda a: self.discovery.fetch(),
+            it.Log: lambda a: log.info("module", text=a.text),
+            it.Tell: lambda a: self.watch.count("untold"),  # sockets have no messages between dispatchers
+        }
+
+    # ---- events
+
+    def post(self, event):
+        self.events.append(event)
+        if not self.due:
+            self.due = True
+            self.loop.call_soon(self._turn)
+
+    def _turn(self):
+        self.due = False
+        events, self.events = self.events, []
+        try:
+            actions = self.dispatcher.handle(self.clock.now(), events)
+        except Exception:
+            # A fault must not take the dispatcher down with all that it holds.
+            log.exception("module_fault", events=[type(event).__name__ for event in events[:8]])
+            self.watch.count("module_fault")
+            self._start_anew()
+            return
+        for action in actions:
+            try:
+                self.carry_out[type(action)](action)
+            except Exception:
+                log.exception("action_fault", action=type(action).__name__)
+                self.watch.count("action_fault")
+
+    def _start_anew(self):
+        """After a fault the module's state is in doubt: it goes as at a restart, with the list alone. Work
+        items are answered, those handed off once their hand-off has ended."""
+        self.generation += 1
+        self.events = []
+        self.dispatcher = self.make(self.terms, self.random.getrandbits(64))
+        for item in list(self.items.values()):
+            item.orphan = True
+            if not item.ended and not item.out:
+                self._abandon(item)
+        self.post(self.workers.listed())
+
+    def _abandon(self, item):
+        may_have_run = any(outcome not in it.NEVER_RAN for outcome in item.hos)
+        if may_have_run and item.effect != it.Effect.RERUNNABLE:
+            self._end(item, it.WriteOff(item.number))
+        else:
+            self._end(item, it.Defer(item.number, 0))
+
+    def arrive(self, job, client, came):
+        """Takes a client's job; None where its category is not known."""
+        category = self.categories.get(job.category)
+        if category is None:
+            return None
+        row = self.terms.categories[category]
+        expiry = came + (row.expiry if job.time_left is None else job.time_left) - MARGIN
+        if self.stop_at is not None:
+            expiry = min(expiry, self.stop_at)
+        self.count += 1
+        item = self.items[self.count] = Item(self.count, job, client, row.effect, expiry)
+        self.post(it.Arrived(
+            item.number, category, 0, self.keys.take(job.key), max(0, expiry - self.clock.now()), 0,
+            job.slots, job.memory, job.repeated, False))
+        return item
+
+    def leave(self, item):
+        """The client has gone away."""
+        if not item.ended:
+            self._end(item, None)
+            self.post(it.Left(item.number))
+
+    def stop(self, seconds):
+        """A planned stop: all that is taken is answered within so many seconds."""
+        self.stop_at = self.clock.now() + int(seconds * it.SECOND)
+        for item in self.items.values():
+            item.expiry = min(item.expiry, self.stop_at)
+        self.post(it.Stopping(self.stop_at - self.clock.now()))
+
+    def owes(self):
+        """How many work items wait for their answer."""
+        return sum(not item.ended for item in self.items.values())
+
+    def note(self, item, number, worker, topic, portion):
+        self.post(it.Noted(item.number, number, worker, topic, portion))
+
+    def settle(self, item, number, worker, over, elapsed):
+        """A hand-off has ended."""
+        self.watch.must(item.hos[number] is None, "one_outcome_a_hand_off")
+        item.hos[number] = over.outcome
+        item.out -= 1
+        if over.outcome == it.Outcome.OK and not item.ended:
+            self._end(item, over.outcome, over.result)
+        elif over.outcome != it.Outcome.OK:
+            self.watch.count("hand_off_" + over.outcome.name.lower())
+        self.post(it.Answered(
+            item.number, number, worker, over.outcome, elapsed, item.ended, 0, over.report))
+        if item.out:
+            return
+        if item.ended:
+            self._drop(item)
+        elif item.orphan:
+            self._abandon(item)
+
+    # ---- actions
+
+    def _hand_off(self, action):
+        item = self.items.get(action.wi)
+        if item is None:
+            self.watch.count("moot")
+            return
+        number = len(item.hos)
+        self.watch.must(not item.out or self.terms.parallel_tries, "one_hand_off_out")
+        self.watch.must(number < self.terms.most_hand_offs, "hand_off_limit")
+        item.hos.append(None)
+        item.out += 1
+        if item.ended:
+            moot = it.Answered(item.number, number, action.worker, it.Outcome.MOOT, 0, True, 0, None)
+            item.hos[number] = it.Outcome.MOOT
+            item.out -= 1
+            self.post(moot)
+            return
+        until = min(action.until, item.expiry) if action.until else item.expiry
+        self.workers.start(item, number, action.worker, until)
+
+    def _cancel(self, action):
+        item = self.items.get(action.wi)
+        if item is not None and action.ho < len(item.hos) and item.hos[action.ho] is None:
+            self.workers.cancel(item, action.ho)
+
+    def _answer(self, action):
+        item = self.items.get(action.wi)
+        if item is not None and not item.ended:
+            self._end(item, action)
+
+    def _set_timer(self, action):
+        self.loop.call_later(action.after / it.SECOND, self._ring, action.token, self.generation)
+
+    def _ring(self, token, generation):
+        if generation == self.generation:
+            self.post(it.Rang(token))
+
+    # ---- the end of a work item
+
+    def _end(self, item, answer, result=b""):
+        item.ended = True
+        client, item.client = item.client, None
+        self.keys.drop(item.job.key)
+        if type(answer) is it.Defer:
+            self.watch.count("deferred")
+            client.defer(answer.come_back)
+        elif type(answer) is it.WriteOff:
+            self.watch.count("written_off")
+            client.write_off()
+        elif answer == it.Outcome.OK:
+            client.finish(result)
+        if not item.out:
+            self._drop(item)
+
+    def _drop(self, item):
+        self.items.pop(item.number, None)
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -33,14 +33,15 @@
     Rang,
     SetTimer,
     Standing,
+    Stopping,
     Subscribe,
     Tell,
     WriteOff,
 )
 
 # Timer tokens: the next call to discovery, the next look at the waiting work items, the next tale to the
-# other dispatchers; a work item's own count up from there.
-ASK_AGAIN, BEAT, TALE, TELL, OWN = 0, 1, 2, 3, 4
+# other dispatchers, the last moment of a planned stop; a work item's own count up from there.
+ASK_AGAIN, BEAT, TALE, TELL, LAST, OWN = 0, 1, 2, 3, 4, 5
 TOLD = Struct("<HB")  # a worker, by the last bits of its id, and the slots that the teller holds there
 # Beside the teller's area in the first byte: tell me where you are and what you hold; this is all that is
 # held at these workers, whoever holds it; tell me that of your circle.
@@ -230,7 +231,7 @@
         self.reactions = {
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
-            Heard: self._heard,
+            Heard: self._heard, Stopping: self._stopping,
         }
 
     def handle(self, now, events):
@@ -439,6 +440,8 @@
     def _giving_up(self, wi):
         """Deferred where a retry is provably harmless, else written off."""
         row = wi.row
+        if wi.out and wi.anchor is None:
+            wi.anchor = next(ho for ho in wi.hos if not ho.answered)
         harmless = wi.anchor is None or row.effect == Effect.RERUNNABLE or (
             row.effect == Effect.TICKETED and row.group == Group.ALL and self.now < wi.window_end())
         if not harmless:
@@ -644,6 +647,10 @@
             self._retell()
         elif event.token == TELL:
             self._tell()
+        elif event.token == LAST:
+            for wi in list(self.items.values()):
+                if not wi.ended:
+                    self._end(wi, self._giving_up(wi))
         else:
             wi = self.timers.pop(event.token)
             if type(wi) is Out:
@@ -652,6 +659,18 @@
             elif wi.token == event.token and wi.waits is not None:
                 self._overdue(wi)
 
+    def _stopping(self, event):
+        """A planned stop is an expiry for all: what cannot be in time any more is given up at once, so that
+        its client may try elsewhere, and what is still out at the end as it then stands."""
+        last = self.now + event.time_left
+        for wi in list(self.items.values()):
+            wi.expiry = min(wi.expiry, last)
+            if wi.waits is WAIT and self._start_by(wi) <= self.now:
+                self._end(wi, self._giving_up(wi))
+            elif wi.waits is WAIT:
+                self._guard(wi, WAIT, self._start_by(wi) - self.now)
+        self.actions.append(SetTimer(event.time_left, LAST))
+
     def _noted(self, event):
         wi = self.items.get(event.wi)
         if wi is not None and event.ho < len(wi.hos):
--- /dev/null
+++ b/heronwinch/protocol/buffer.py
@@ -0,0 +1,38 @@
+"""The one buffer of a connection for what h11 has taken out of its framing."""
+
+
+class TooLong(ValueError):
+    """More came than the connection may hold."""
+
+
+class Buffer:
+    """Grows as it needs up to a limit; what is taken from its front is compacted away in place."""
+
+    __slots__ = ("data", "most")
+
+    def __init__(self, most):
+        self.data = bytearray()
+        self.most = most
+
+    def __len__(self):
+        return len(self.data)
+
+    def add(self, part):
+        if len(self.data) + len(part) > self.most:
+            raise TooLong(f"over {self.most} bytes")
+        self.data += part
+
+    def take(self):
+        """All of it."""
+        data = bytes(self.data)
+        self.data.clear()
+        return data
+
+    def take_line(self):
+        """The next whole line without its end, or None."""
+        end = self.data.find(b"\n")
+        if end < 0:
+            return None
+        line = bytes(self.data[:end])
+        del self.data[:end + 1]
+        return line
--- /dev/null
+++ b/heronwinch/protocol/discovery.py
@@ -0,0 +1,99 @@
+"""Discovery: the list of workers, asked for whole or watched for changes."""
+
+import json
+from typing import NamedTuple
+
+from heronwinch.interface import Standing
+from heronwinch.protocol.asking import Asking, BrokenPeer, End, Head
+from heronwinch.protocol.buffer import Buffer, TooLong
+
+MOST_LIST = 8 * 1024 * 1024  # some 40,000 workers
+STANDINGS = {"in_service": Standing.READY, "terminating": Standing.DRAINING, "terminated": Standing.GONE}
+
+
+class Host(NamedTuple):
+    """One worker as discovery names it."""
+
+    host: str
+    address: tuple[str, int]
+    area: str
+    kind: str
+    pod: int
+    standing: Standing
+    weight: float
+    started_ms: int
+
+
+class Listing(NamedTuple):
+    version: int
+    whole: bool
+    hosts: tuple[Host, ...]
+
+
+class BadList(ValueError):
+    """The list is not what the operators' page describes."""
+
+
+class DiscoverySide:
+    """One connection to discovery."""
+
+    def __init__(self):
+        self.asking = Asking()
+        self.buffer = Buffer(MOST_LIST)
+        self.status = 0
+
+    def ask_whole(self):
+        return self.asking.ask(b"GET", b"/api/targets")
+
+    def watch(self, version, wait_ms):
+        return self.asking.ask(b"GET", b"/api/targets?index=%d&wait=%d" % (version, wait_ms))
+
+    def feed(self, data):
+        """The Listing that these bytes complete, or None. Raises BadList where none can come any more."""
+        try:
+            for event in self.asking.feed(data):
+                if type(event) is Head:
+                    self.status = event.status
+                elif type(event) is not End:
+                    self.buffer.add(event.data)
+                elif self.status == 200:
+                    return read_listing(self.buffer.take())
+                else:
+                    raise BadList(f"status {self.status}")
+        except (BrokenPeer, TooLong) as fault:
+            raise BadList(str(fault)) from None
+        if not data:
+            raise BadList("the connection ended")
+        return None
+
+    @property
+    def reusable(self):
+        return self.asking.reusable
+
+
+def read_listing(text):
+    try:
+        return as_listing(json.loads(text))
+    except RecursionError:
+        raise BadList("nested too deep") from None
+    except ValueError as fault:
+        raise BadList(f"no list: {fault}") from None
+
+
+def as_listing(tree):
+    try:
+        return Listing(int(tree["seq"]), bool(tree["whole"]), tuple(map(_host, tree["hosts"])))
+    except (KeyError, TypeError, ValueError) as fault:
+        raise BadList(f"no list: {type(fault).__name__}: {fault}") from None
+
+
+def _host(entry):
+    address, _, port = entry["dial"].rpartition(":")
+    if not address or not 0 < int(port) < 65536:
+        raise ValueError(f"dial {entry['dial']!r}")
+    return Host(
+        host=str(entry["host"]), address=(address.strip("[]"), int(port)), area=str(entry.get("site", "")),
+        kind=str(entry.get("class", "")), pod=int(entry.get("block", 0)),
+        standing=STANDINGS[entry["health"]], weight=float(entry.get("share", 1.0)),
+        started_ms=int(entry.get("born_ms", 0)),
+    )
--- a/heronwinch/benchlink/settings.py
+++ b/heronwinch/terms.py
@@ -1,4 +1,7 @@
-"""The wire's settings (path=value lines) turned into the terms of an instance."""
+"""The operators' settings turned into the terms of an instance: one reader for the simulator's lines
+(path=value) and for a real dispatcher's nested JSON, which hold the same."""
+
+from typing import NamedTuple
 
 from heronwinch.interface import Account, Category, Effect, Group, Terms
 
@@ -11,9 +14,46 @@
     pass
 
 
+class Names(NamedTuple):
+    """What the numbers in the terms are called outside, each in the order of its numbers."""
+
+    categories: tuple[str, ...]
+    accounts: tuple[str, ...]
+    areas: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+
+def from_lines(text: str) -> dict[str, str]:
+    return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+
+def from_tree(tree: dict, path: str = "") -> dict[str, str]:
+    """Nested objects as the lines have them: plain lists joined, a list of objects with its count."""
+    values = {}
+    for name, value in tree.items():
+        at = f"{path}{name}"
+        if isinstance(value, dict):
+            values |= from_tree(value, at + ".")
+        elif isinstance(value, list) and value and all(isinstance(part, dict) for part in value):
+            values[at + ".count"] = str(len(value))
+            for i, part in enumerate(value):
+                values |= from_tree(part, f"{at}.{i}.")
+        elif isinstance(value, list):
+            values[at] = ",".join(map(as_word, value))
+        else:
+            values[at] = as_word(value)
+    return values
+
+
+def as_word(value) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "" if value is None else str(value).replace(" ", "_").replace(",", "_")
+
+
 class _Pairs:
-    def __init__(self, text: str) -> None:
-        self.values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+    def __init__(self, values: dict[str, str]) -> None:
+        self.values = values
 
     def get(self, key, read, default=REQUIRED):
         if key not in self.values:
@@ -46,14 +86,23 @@
     return text.split(",") if text else []
 
 
-def load_fields(text: str) -> list[str]:
+def load_fields(values: dict[str, str]) -> list[str]:
     """The names of the values in a load report, in their order."""
-    pairs = _Pairs(text)
-    return pairs.get("load_info.fields", words, [])
+    return _Pairs(values).get("load_info.fields", words, [])
+
+
+def read_names(values: dict[str, str]) -> Names:
+    get = _Pairs(values).get
+    return Names(
+        categories=tuple(get(f"categories.{i}.name", str) for i in range(get("categories.count", whole))),
+        accounts=tuple(get(f"realms.{i}.name", str) for i in range(get("realms.count", whole, 0))),
+        areas=tuple(get("areas", words, [])),
+        kinds=tuple(get("models", words, [])),
+    )
 
 
-def read_terms(text: str) -> Terms:
-    pairs = _Pairs(text)
+def read_terms(values: dict[str, str]) -> Terms:
+    pairs = _Pairs(values)
     get = pairs.get
     count = get("categories.count", whole)
     kinds = pairs.each("family_info.class_kind", whole, count, -1)
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -7,7 +7,7 @@
 from heronwinch import interface as it
 from heronwinch.benchlink import __main__ as program
 from heronwinch.benchlink import codec, host
-from heronwinch.benchlink.settings import SettingsError, read_terms
+from heronwinch.terms import SettingsError, from_lines, read_terms
 
 SETTINGS = """areas=a,b
 az=b
@@ -143,9 +143,9 @@
 
 
 def test_terms():
-    terms = read_terms(SETTINGS)
+    terms = read_terms(from_lines(SETTINGS))
     row = terms.categories[0]
     assert (terms.area, terms.dispatchers, terms.pushed_list) == (1, 1, False)
     assert (row.effect, row.group, row.stretch, row.kind) == (it.Effect.TICKETED, it.Group.AREA, 1.25, -1)
     with pytest.raises(SettingsError, match="categories.0.effect"):
-        read_terms(SETTINGS.replace("dedup", "harmless"))
+        read_terms(from_lines(SETTINGS.replace("dedup", "harmless")))
