--- a/heronwinch/net/__init__.py
+++ b/heronwinch/net/__init__.py
@@ -1,3 +1,3 @@
-"""Thin drivers on asyncio streams: they read, write and wait. What bytes mean is heronwinch.protocol's affair,
-what is done about it heronwinch.policy's.
+"""Thin drivers on asyncio streams: they read, write and wait. What bytes mean is settled in
+heronwinch.protocol, what is done about it in heronwinch.policy.
 """
