Turn clients away without losing the answer; count the time a request lay unread

- With all client connections busy, a further one was sent 503 and closed with its request unread; the system then resets the connection and the answer is lost (net/listener.py, _connected).
It is heard out for a moment now.
- A process that stood still counted a request's time from when it read it, so a hand-off could end after the client's time was up (net/listener.py, serve).
The system is asked how old the last bytes are (TCP_INFO).
- Bad input always ends its connection; a worker that ends its connection with its answer is not waited for.
- Workers gone for ten minutes are forgotten on both sides, so memory does not grow with machines that come and go.
- Every trouble has one line at first and is summed up every ten seconds, so that a fault in a loop cannot flood.

--- a/examples/toy.py
+++ b/examples/toy.py
@@ -23,6 +23,7 @@
         self.server = None
         self.address = None
         self.writers = set()
+        self.accepted = 0  # connections so far
 
     async def listen(self, host="127.0.0.1", port=0):
         self.server = await asyncio.start_server(self._serve, host, port)
@@ -41,6 +42,7 @@
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
+        self.accepted += 1
         connection = h11.Connection(h11.SERVER)
         try:
             while (request := await self._request(connection, reader)) is not None:
--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -122,8 +122,8 @@
 
     def _stray(self, loop, context):
         """A fault that nothing else caught: the dispatcher goes on."""
-        self.watch.count("stray_fault")
-        log.error("stray_fault", what=context.get("message"), exc_info=context.get("exception"))
+        if self.watch.count("stray_fault"):
+            log.error("stray_fault", what=context.get("message"), exc_info=context.get("exception"))
 
     async def _stop(self):
         """What was taken is answered; new connections are accepted for as long as they come."""
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -203,6 +203,12 @@
     time_left: int
 
 
+class Forgotten(NamedTuple):
+    """A worker that is gone and will not be named again."""
+
+    worker: int
+
+
 class Rang(NamedTuple):
     """A timer came due."""
 
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -82,16 +82,16 @@
             actions = self.dispatcher.handle(self.clock.now(), events)
         except Exception:
             # A fault must not take the dispatcher down with all that it holds.
-            log.exception("module_fault", events=[type(event).__name__ for event in events[:8]])
-            self.watch.count("module_fault")
+            if self.watch.count("module_fault"):
+                log.exception("module_fault", events=[type(event).__name__ for event in events[:8]])
             self._start_anew()
             actions = ()
         for action in actions:
             try:
                 self.carry_out[type(action)](action)
             except Exception:
-                log.exception("action_fault", action=type(action).__name__)
-                self.watch.count("action_fault")
+                if self.watch.count("action_fault"):
+                    log.exception("action_fault", action=type(action).__name__)
         # Not sooner: in the call that tells the module of their end it may still act for them.
         for item in parting:
             self._drop(item)
@@ -143,7 +143,6 @@
 
     def _overdue(self, item):
         """Rule 1 holds whatever the module does: no client is left without an answer."""
-        log.error("overdue", held_off=len(item.hos), out=item.out)
         self.watch.count("overdue")
         self._abandon(item)
         self.parting.append(item)
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -16,6 +16,7 @@
 LONGEST_REQUEST = 10.0  # seconds that a request may take to come in
 ONE_MORE_LOOK = 0.001  # seconds: what came as a wait ended is not lost with its connection
 MOST_UNREAD = 256 * 1024  # bytes of answers that a client may leave unread
+MOST_LEAVING = 8
 BACKLOG = 512
 
 
@@ -38,11 +39,11 @@
             if not data:
                 return
             if self.side.between:
-                self.came = self.engine.clock.now()
+                self.came = self.engine.clock.now() - sockets.age(self.writer)
                 self.listener.idle.pop(self, None)
             self._react(self.side.feed(data))
             self._rest()
-        await self._linger()
+        await self.linger()
 
     async def _read(self):
         """Also while an answer is owed: the connection's end means that the client has gone away."""
@@ -53,7 +54,7 @@
                 return b""
             if not self.side.between:
                 self.listener.watch.count("request_too_slow")
-                self._react([Refused(408, "the request did not come to its end", True)])
+                self._refuse(Refused(408, "the request did not come to its end"))
                 return b""
         try:
             return await self._read_within(ONE_MORE_LOOK)
@@ -84,7 +85,7 @@
             with contextlib.suppress(RuntimeError):  # it has just come to its end
                 self.wait.reschedule(None if seconds is None else self.engine.loop.time() + seconds)
 
-    async def _linger(self):
+    async def linger(self):
         """Closed with bytes unread, a connection is reset, and the last answer may be lost with it."""
         with contextlib.suppress(OSError):
             if self.writer.can_write_eof():
@@ -101,7 +102,7 @@
             elif kind is Job:
                 self.item = self.engine.arrive(event, self, self.came)
                 if self.item is None:
-                    self._refuse(Refused(404, "no such category", False))
+                    self._refuse(Refused(404, "no such category"))
             elif kind is ReadyAsked:
                 self._say(503 if self.listener.stopping else 200)
             elif kind is Refused:
@@ -112,7 +113,7 @@
         if self.item is not None:
             item, self.item = self.item, None
             self.engine.leave(item)
-        self._say(refused.status, refused.reason.encode("utf-8", "replace") + b"\n", close=refused.close)
+        self._say(refused.status, refused.reason.encode("utf-8", "replace") + b"\n", close=True)
 
     def _say(self, status, body=b"", headers=(), close=False):
         data, self.ended = self.side.answer(status, body, headers, close or self.listener.stopping)
@@ -120,7 +121,7 @@
         if self.writer.transport.get_write_buffer_size() > MOST_UNREAD:
             self.writer.transport.abort()
         elif not self.ended:
-            self.came = self.engine.clock.now()
+            self.came = self.engine.clock.now() - sockets.age(self.writer)
             self._react(self.side.further())
         self._rest()
 
@@ -139,6 +140,9 @@
         self.item = None
         self._say(503, headers=[(b"Retry-After", b"%.3f" % (come_back / SECOND))] if come_back else ())
 
+    def turn_away(self):
+        self._say(503, close=True)
+
     def write_off(self):
         self.item = None
         self._say(500)
@@ -151,6 +155,7 @@
         self.watch = watch
         self.clients = set()
         self.idle = OrderedDict()  # clients between two requests, the longest so first
+        self.leaving = 0  # clients that are being turned away
         self.stopping = False
         self.last_connected = 0.0
         self.server = None
@@ -160,12 +165,10 @@
 
     async def _connected(self, reader, writer):
         self.last_connected = self.engine.loop.time()
+        client = Client(self, reader, writer)
         if len(self.clients) >= self.most and not self._make_room():
-            self.watch.count("client_turned_away")
-            writer.write(ClientSide().answer(503, close=True)[0])
-            sockets.close(writer)
+            await self._turn_away(client)
             return
-        client = Client(self, reader, writer)
         self.clients.add(client)
         self.idle[client] = None
         try:
@@ -173,8 +176,8 @@
         except asyncio.CancelledError:
             pass
         except Exception:
-            log.exception("client_fault")
-            self.watch.count("client_fault")
+            if self.watch.count("client_fault"):
+                log.exception("client_fault")
         finally:
             self.clients.discard(client)
             self.idle.pop(client, None)
@@ -183,6 +186,17 @@
                 self.watch.count("client_left")
                 self.engine.leave(client.item)
 
+    async def _turn_away(self, client):
+        """With all clients busy: nothing of it has run, so a further one is told to try again. A few of these
+        at a time are heard out, as otherwise the answer is lost with their connection."""
+        self.watch.count("client_turned_away")
+        self.leaving += 1
+        if self.leaving <= MOST_LEAVING:
+            client.turn_away()
+            await client.linger()
+        sockets.close(client.writer)
+        self.leaving -= 1
+
     def _make_room(self):
         """Closes the connection that has stood idle for longest."""
         if not self.idle:
--- a/heronwinch/net/sockets.py
+++ b/heronwinch/net/sockets.py
@@ -1,11 +1,12 @@
 """How many sockets there may be, and for whom."""
 
 import asyncio
-import contextlib
 import resource
 import select
+import socket
+import struct
 
-SPARE = 24  # standard streams, the loop's own, the listener, discovery, what the system opens for a moment
+SPARE = 24  # standard streams, the loop's own, listener, discovery, clients that are being turned away
 LINGER = 2.0  # seconds that a closed connection may take to send what is left
 
 
@@ -21,6 +22,17 @@
         self.workers = room - self.clients
 
 
+def age(writer):
+    """Nanoseconds since the last bytes came in, by the system's word: they may have lain unread while the
+    process stood still, and a client's time runs from when it sent them."""
+    try:
+        info = writer.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
+        (milliseconds,) = struct.unpack_from("I", info, 52)  # tcpi_last_data_recv
+    except (AttributeError, OSError, struct.error):
+        return 0  # not on this system
+    return milliseconds * 1_000_000
+
+
 def is_quiet(writer):
     """Whether the peer has said nothing, not even its end, that is still unread."""
     sock = writer.get_extra_info("socket")
@@ -40,12 +52,10 @@
 
 async def read(reader, seconds):
     """The next bytes, b"" at the end of the connection, however it came; TimeoutError after so long."""
-    with contextlib.suppress(ConnectionError, OSError) if seconds is None else contextlib.nullcontext():
-        try:
-            async with asyncio.timeout(seconds):
-                return await reader.read(65536)
-        except TimeoutError:
-            raise
-        except OSError:
-            return b""
-    return b""
+    try:
+        async with asyncio.timeout(seconds):
+            return await reader.read(65536)
+    except TimeoutError:
+        raise
+    except OSError:
+        return b""
--- a/heronwinch/net/watch.py
+++ b/heronwinch/net/watch.py
@@ -27,15 +27,16 @@
         self.said = Counter()
 
     def count(self, trouble):
+        """Whether it is the first of its kind since the last sum, and so worth a line of its own."""
         self.counts[trouble] += 1
+        return self.counts[trouble] == self.said[trouble] + 1
 
     def must(self, holds, what):
         """An invariant: an error in debug builds, counted in release builds."""
         if not holds:
             assert holds, what
-            if not self.counts["broken_" + what]:
+            if self.count("broken_" + what):
                 log.error("invariant_broken", what=what)
-            self.counts["broken_" + what] += 1
 
     def sum_up(self):
         new = self.counts - self.said
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -11,6 +11,7 @@
 
 log = structlog.get_logger()
 
+KEPT_IN_MIND = 600 * it.SECOND  # a worker that is gone may be listed again
 TAIL = 1.0  # seconds that the rest of an answer may take once its last line has come
 
 
@@ -67,6 +68,7 @@
         self.watch = watch
         self.areas = {name: i for i, name in enumerate(names.areas)}
         self.kinds = {name: i for i, name in enumerate(names.kinds)}
+        self.count = 0  # workers ever listed: a number is not used again
         self.by_host = {}
         self.by_number = {}
         self.open = 0
@@ -81,12 +83,14 @@
 
     def list(self, kind, listing):
         """The event of a listing; kinds and areas that the settings do not name get numbers of their own."""
+        self._forget()
         self.version = listing.version
         named = set()
         for host in listing.hosts:
             worker = self.by_host.get(host.host)
             if worker is None:
-                worker = Worker(len(self.by_number) + 1, host.host)
+                self.count += 1
+                worker = Worker(self.count, host.host)
                 self.by_host[host.host] = self.by_number[worker.number] = worker
             if worker.address != host.address:
                 self._close_all(worker)
@@ -111,6 +115,16 @@
         if entry.standing == it.Standing.GONE:
             self._close_all(worker)
 
+    def _forget(self):
+        """Machines come and go; those gone for long, with nothing out there, are not kept in mind."""
+        last = self.clock.now() - KEPT_IN_MIND
+        busy = {ho.worker for ho in self.carrying.values()}
+        for worker in list(self.by_number.values()):
+            if (worker.entry.standing == it.Standing.GONE and worker.left < last
+                    and worker not in busy and worker.number not in self.probing):
+                del self.by_number[worker.number], self.by_host[worker.host]
+                self.engine.post(it.Forgotten(worker.number))
+
     def listed(self):
         """All workers as last heard of."""
         return it.Listed(it.ListKind.CACHED, self.version, tuple(
@@ -258,8 +272,8 @@
         if ho.task.cancelled():
             ho.settle(Over(it.Outcome.CANCELLED))
         elif ho.task.exception() is not None:
-            log.error("hand_off_fault", worker=ho.worker.host, exc_info=ho.task.exception())
-            self.watch.count("hand_off_fault")
+            if self.watch.count("hand_off_fault"):
+                log.error("hand_off_fault", worker=ho.worker.host, exc_info=ho.task.exception())
         ho.settle(Over(it.Outcome.RESET))
 
     def _left_long_ago(self, worker):
@@ -269,14 +283,11 @@
     async def _finish(self, worker, connection):
         """Reads an answer to its end, so that its connection can be kept."""
         try:
-            while not connection.side.reusable:
-                data = await sockets.read(connection.reader, TAIL)
-                connection.side.feed(data)
-                if not data:
-                    return False
+            while not connection.side.ended:
+                connection.side.feed(await sockets.read(connection.reader, TAIL))
         except TimeoutError:
             return False
-        return self._keep(worker, connection)
+        return connection.side.reusable and self._keep(worker, connection)
 
     async def _probe(self, worker):
         begun = self.clock.now()
@@ -286,8 +297,8 @@
         except asyncio.CancelledError:
             over = Over(it.Outcome.CANCELLED)
         except Exception:
-            log.exception("probe_fault", worker=worker.host)
-            self.watch.count("probe_fault")
+            if self.watch.count("probe_fault"):
+                log.exception("probe_fault", worker=worker.host)
         finally:
             del self.probing[worker.number]
             if over.outcome != it.Outcome.OK:
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -20,6 +20,7 @@
     CloseIdle,
     Defer,
     Effect,
+    Forgotten,
     Group,
     HandOff,
     Heard,
@@ -232,7 +233,7 @@
         self.reactions = {
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
-            Heard: self._heard, Stopping: self._stopping,
+            Heard: self._heard, Stopping: self._stopping, Forgotten: self._forgotten,
         }
 
     def handle(self, now, events):
@@ -336,6 +337,7 @@
             slots, told_at = self.tales.get(key, (0, 0))
             if told_at == when:
                 del self.tales[key]
+            if told_at == when and key[1] in self.workers:
                 self.workers[key[1]].others -= slots
                 self.touched.append(self.workers[key[1]])
 
@@ -732,6 +734,11 @@
             if self.terms.may_tell and self.terms.dispatchers > 1:
                 self.actions.append(Tell(-1, bytes([self.terms.area | HELLO])))
 
+    def _forgotten(self, event):
+        worker = self.workers.pop(event.worker)
+        self.near[worker.id & 0xFFFF].remove(worker)
+        self.reports.pop(worker.id, None)
+
     def _ask_again(self):
         """Discovery failed: ask again after a randomised pause that grows, so that instances spread out."""
         if self.asking_again:
--- a/heronwinch/protocol/asking.py
+++ b/heronwinch/protocol/asking.py
@@ -62,6 +62,11 @@
             elif kind is not h11.InformationalResponse:
                 return  # more is needed, or there is no more
 
+    @property
+    def ended(self):
+        """Whether nothing more of the answer is to come."""
+        return self.h11.their_state not in (h11.IDLE, h11.SEND_RESPONSE, h11.SEND_BODY)
+
     @property
     def reusable(self):
         """Whether the answer is complete and another question may follow on the same connection."""
--- a/heronwinch/protocol/clients.py
+++ b/heronwinch/protocol/clients.py
@@ -43,11 +43,10 @@
 
 
 class Refused(NamedTuple):
-    """Bad input, to be answered so; the connection ends with it where `close` is set."""
+    """Bad input, to be answered so; the connection ends with it."""
 
     status: int
     reason: str
-    close: bool
 
 
 class BadRequest(ValueError):
@@ -84,7 +83,7 @@
         if self.owed:
             if len(self.h11.trailing_data[0]) > MOST_BODY + MOST_HEAD:
                 self.broken = True  # it sends and sends without waiting for its answer
-                return [Refused(400, "too much before the answer", True)]
+                return [Refused(400, "too much before the answer")]
             return []
         return self.further()
 
@@ -128,9 +127,9 @@
         return data, True
 
     def _refuse(self, status, reason):
-        """What follows cannot be told apart from what was wrong: the connection ends with the answer."""
+        """Where one request was wrong, nothing that follows it on the connection is trusted."""
         self.broken = True
-        return Refused(status, reason, True)
+        return Refused(status, reason)
 
     def _whole(self):
         request, body = self.request, self.body.take()
@@ -138,7 +137,7 @@
         try:
             return _read(request, body)
         except BadRequest as fault:
-            return Refused(fault.status, str(fault), False)
+            return self._refuse(fault.status, str(fault))
 
 
 def _read(request, body):
--- a/heronwinch/protocol/workers.py
+++ b/heronwinch/protocol/workers.py
@@ -64,6 +64,11 @@
             told += self._end(Over(Outcome.RESET))
         return told
 
+    @property
+    def ended(self):
+        """Whether nothing more of the answer is to come."""
+        return self.asking.ended
+
     @property
     def reusable(self):
         return self.over and self.asking.reusable
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -227,6 +227,17 @@
     assert first.entries[0].started_at == 3 * MS
 
 
+def test_workers_gone_for_long_are_forgotten(workers):
+    workers.list(it.ListKind.FULL, Listing(1, True, (host("s"), host("t"))))
+    workers.list(it.ListKind.FULL, Listing(2, True, (host("t"),)))
+    workers.list(it.ListKind.FULL, Listing(3, True, (host("t"),)))
+    assert not workers.engine.calls and len(workers.by_host) == 2
+    workers.by_host["s"].left -= 3600 * it.SECOND
+    event = workers.list(it.ListKind.FULL, Listing(4, True, (host("t"), host("s"))))
+    assert workers.engine.calls == [("post", it.Forgotten(1))]
+    assert [entry.worker for entry in event.entries] == [2, 3]
+
+
 def test_what_a_whole_list_does_not_name_is_gone(workers):
     workers.list(it.ListKind.FULL, Listing(1, True, (host("s"), host("t"))))
     workers.list(it.ListKind.FULL, Listing(2, True, (host("t"), host("u", area="of tomorrow"))))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -516,3 +516,48 @@
     d.arrive(1)
     d.do(after=2000)
     assert 1 < sum(body == b"\x20" for _, body in told(d.all)) < 20
+
+
+def test_a_forgotten_worker_leaves_nothing_behind(drive):
+    d = drive()
+    d.do(it.Probed(1, 5, Outcome.OK, report(2)), it.Listed(it.ListKind.FULL, 2, (entry(2),)))
+    d.do(it.Forgotten(1), after=OPEN_AFTER)
+    for wi in range(5):
+        d.arrive(wi, after=1)
+        d.answer(wi, 0, 2, after=1)
+    assert set(d.dispatcher.workers) == {2} and 1 not in d.dispatcher.reports
+    assert not any(worker.id == 1 for workers in d.dispatcher.near.values() for worker in workers)
+
+
+@pytest.mark.parametrize("effect, out, final", [
+    (Effect.RERUNNABLE, True, "Defer"),
+    (Effect.EXCLUSIVE, True, "WriteOff"),
+    (Effect.EXCLUSIVE, False, "Defer"),
+])
+def test_a_planned_stop_answers_all_in_its_time(drive, effect, out, final):
+    d = drive(effect, workers=(entry(1),), category={"late_credit": 0.5, "expiry": 20_000 * MS})
+    if out:
+        d.arrive(1, after=OPEN_AFTER)
+        assert d.sent(1) == [1]
+        d.do(it.Stopping(3000 * MS))
+        assert d.final(1) == []
+        d.do(after=3001)
+    else:
+        d.do(it.Listed(it.ListKind.FULL, 2, ()))
+        d.arrive(1, after=OPEN_AFTER)
+        d.do(it.Stopping(3000 * MS))
+        d.arrive(2, after=10)  # also what comes in meanwhile
+        d.do(after=3001)
+        assert d.final(2) == [final]
+    assert d.final(1) == [final]
+
+
+def test_at_a_planned_stop_what_cannot_be_in_time_is_given_up_at_once(drive):
+    d = drive(workers=(entry(1),), category={"late_credit": 0.5, "expiry": 20_000 * MS})
+    d.arrive(1, after=OPEN_AFTER)
+    d.answer(1, 0, 1, after=4000, elapsed=4000)
+    d.do(it.Listed(it.ListKind.FULL, 2, ()))
+    d.arrive(2, after=10)
+    assert d.final(2) == []
+    d.do(it.Stopping(3000 * MS))
+    assert d.final(2) == ["Defer"]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import subprocess
 import sys
 
@@ -198,3 +199,51 @@
         _, errors = await other.communicate()
         assert other.returncode == 1 and errors.count(b"\n") == 1 and b"cannot listen" in errors
     stage(scene)
+
+
+def test_time_that_a_request_lay_unread_counts(stage):
+    async def scene(s):
+        os.kill(s.process.pid, signal.SIGSTOP)
+        asked = asyncio.create_task(s.ask(deadline="5.0"))
+        await asyncio.sleep(0.5)
+        os.kill(s.process.pid, signal.SIGCONT)
+        assert (await asked)[0] == 200
+        ((headers, _, _),) = [each for w in s.workers for each in w.jobs]
+        assert float(headers[b"req-deadline"]) < 4.52  # the system tells the age of bytes in steps
+    stage(scene)
+
+
+def test_idle_clients_make_room_and_the_limit_on_sockets_is_kept(stage):
+    async def scene(s):
+        idle = [await asyncio.open_connection(*s.address) for _ in range(8)]
+        await asyncio.sleep(0.1)
+        assert (await s.ask())[0] == 200
+        assert await idle[0][0].read() == b""  # the one that stood idle for longest was closed
+        assert len(os.listdir(f"/proc/{s.process.pid}/fd")) <= 40
+        for _, writer in idle:
+            writer.close()
+    stage(scene, sockets=40)
+
+
+def test_with_all_clients_busy_a_further_one_is_deferred(stage):
+    async def scene(s):
+        for worker in s.workers:
+            worker.mode = "silent"
+        busy = [asyncio.create_task(s.ask(id=f"i{i}", deadline="2")) for i in range(8)]
+        await asyncio.sleep(0.3)
+        assert (await s.ask(id="one more"))[0] == 503
+        await asyncio.gather(*busy)
+    stage(scene, sockets=40)
+
+
+@pytest.mark.parametrize("closes", [False, True])
+def test_connections_to_workers_are_kept_unless_the_worker_ended_them(stage, closes):
+    async def scene(s):
+        (worker,) = s.workers
+        await s.ask()
+        for writer in list(worker.writers) if closes else ():
+            writer.close()
+        before = worker.accepted
+        assert (await s.ask("/charge/1"))[0] == 200  # over a closed connection it would be a reset
+        assert (worker.accepted > before) == closes
+    stage(scene, workers=1)
