--- a/heronwinch/net/discovery.py
+++ b/heronwinch/net/discovery.py
@@ -29,7 +29,8 @@
             async with asyncio.timeout(seconds):
                 if self.streams is None or not self.side.reusable or not sockets.is_quiet(self.streams[1]):
                     self.close()
-                    self.streams = await asyncio.open_connection(*self.address)
+                    async with asyncio.timeout(PATIENCE):
+                        self.streams = await asyncio.open_connection(*self.address)
                     self.side = DiscoverySide()
                 reader, writer = self.streams
                 writer.write(question(self.side))
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -77,7 +77,10 @@
             return 0
         if self.side.owed:
             return None  # its work item has an expiry, and the answer sets a limit again
-        return LONGEST_IDLE if self.side.between else LONGEST_REQUEST
+        if self.side.between:
+            return LONGEST_IDLE
+        # For the whole of it: a byte now and then does not hold a connection for ever.
+        return max(0.0, LONGEST_REQUEST - (self.engine.clock.now() - self.came) / SECOND)
 
     def wake(self, seconds):
         """A new time limit for the read that is under way."""
@@ -191,11 +194,13 @@
         at a time are heard out, as otherwise the answer is lost with their connection."""
         self.watch.count("client_turned_away")
         self.leaving += 1
-        if self.leaving <= MOST_LEAVING:
-            client.turn_away()
-            await client.linger()
-        sockets.close(client.writer)
-        self.leaving -= 1
+        try:
+            if self.leaving <= MOST_LEAVING:
+                client.turn_away()
+                await client.linger()
+        finally:
+            sockets.close(client.writer)
+            self.leaving -= 1
 
     def _make_room(self):
         """Closes the connection that has stood idle for longest."""
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -12,6 +12,7 @@
 log = structlog.get_logger()
 
 KEPT_IN_MIND = 600 * it.SECOND  # a worker that is gone may be listed again
+SHORTEST_IDLE = 5 * it.SECOND  # workers keep an idle connection for so long where nothing is said about it
 TAIL = 1.0  # seconds that the rest of an answer may take once its last line has come
 
 
@@ -20,10 +21,10 @@
 
 
 class Connection:
-    __slots__ = ("reader", "writer", "side", "idle_since")
+    __slots__ = ("address", "reader", "writer", "side", "idle_since")
 
-    def __init__(self, reader, writer):
-        self.reader, self.writer = reader, writer
+    def __init__(self, address, reader, writer):
+        self.address, self.reader, self.writer = address, reader, writer
         self.side = WorkerSide()
         self.idle_since = 0
 
@@ -77,7 +78,7 @@
         self.probing = {}  # worker -> the task of its probe
         self.version = 0
         # Well before the worker would: what is written to a connection it has closed may have run.
-        self.longest_idle = terms.connection_idle // 2
+        self.longest_idle = (terms.connection_idle or SHORTEST_IDLE) // 2
 
     # ---- the list
 
@@ -159,7 +160,7 @@
     # ---- connections
 
     async def _connect(self, worker, until):
-        """A connection to the worker, an idle one if there is, and whether it is new."""
+        """A connection to the worker, an idle one if there is."""
         while worker.idle:
             connection = worker.idle.pop()
             del self.idle[connection]
@@ -172,24 +173,25 @@
                 raise Unreachable
             self._drop_idle(next(iter(self.idle)))
         self.open += 1
+        address = worker.address
         seconds = min(self.terms.connect_timeout or it.SECOND, max(1, until - self.clock.now())) / it.SECOND
         try:
             async with asyncio.timeout(seconds):
-                streams = await asyncio.open_connection(*worker.address, limit=65536)
+                streams = await asyncio.open_connection(*address, limit=65536)
         except OSError:  # TimeoutError is one
             self.open -= 1
             raise Unreachable from None
         except BaseException:
             self.open -= 1
             raise
-        return Connection(*streams)
+        return Connection(address, *streams)
 
     def _is_fit(self, connection):
         return (self.clock.now() - connection.idle_since < self.longest_idle
                 and not connection.reader.at_eof() and sockets.is_quiet(connection.writer))
 
     def _keep(self, worker, connection):
-        if worker.entry.standing == it.Standing.GONE:
+        if worker.entry.standing == it.Standing.GONE or worker.address != connection.address:
             return False
         connection.idle_since = self.clock.now()
         worker.idle.append(connection)
--- a/heronwinch/protocol/discovery.py
+++ b/heronwinch/protocol/discovery.py
@@ -94,6 +94,7 @@
     return Host(
         host=str(entry["host"]), address=(address.strip("[]"), int(port)), area=str(entry.get("site", "")),
         kind=str(entry.get("class", "")), pod=int(entry.get("block", 0)),
-        standing=STANDINGS[entry["health"]], weight=float(entry.get("share", 1.0)),
+        # A state of which nothing is known promises no service: nothing new goes there.
+        standing=STANDINGS.get(entry["health"], Standing.DRAINING), weight=float(entry.get("share", 1.0)),
         started_ms=int(entry.get("born_ms", 0)),
     )
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 from heronwinch.interface import Effect, Outcome
 from heronwinch.net.engine import Engine
 from heronwinch.net.indices import Indices
+from heronwinch.net.listener import LONGEST_IDLE, LONGEST_REQUEST, Client, Listener
 from heronwinch.net.watch import Clock, Watch
 from heronwinch.net.workers import Workers
 from heronwinch.protocol.clients import Job
@@ -243,3 +244,22 @@
     workers.list(it.ListKind.FULL, Listing(2, True, (host("t"), host("u", area="of tomorrow"))))
     assert [entry.worker for entry in workers.listed().entries] == [2, 3]
     assert workers.by_host["s"].entry.standing == it.Standing.GONE
+
+
+def test_a_request_that_comes_byte_by_byte_has_one_time_limit_for_all_of_it(play):
+    async def scene(engine, modules):
+        client = Client(Listener(engine, 8, engine.watch), None, None)
+        assert client._limit() == LONGEST_IDLE
+        client.side.feed(b"POST /render")
+        client.came = engine.clock.now() - int(0.9 * LONGEST_REQUEST * it.SECOND)
+        assert 0 < client._limit() < 0.2 * LONGEST_REQUEST
+        client.came -= int(LONGEST_REQUEST * it.SECOND)
+        assert client._limit() == 0
+    play(scene, {})
+
+
+def test_a_trouble_has_a_line_at_first_and_is_summed_up_from_then_on():
+    watch = Watch()
+    assert [watch.count("reset") for _ in range(3)] == [True, False, False]
+    watch.sum_up()
+    assert watch.count("reset") and watch.counts["reset"] == 4
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
 
@@ -247,3 +248,37 @@
         assert (await s.ask("/charge/1"))[0] == 200  # over a closed connection it would be a reset
         assert (worker.accepted > before) == closes
     stage(scene, workers=1)
+
+
+def test_a_worker_that_never_accepts_is_given_up_in_time(stage):
+    async def scene(s):
+        first, second = s.workers
+        # Its queue is full: further connections neither come up nor are refused, as with a machine cut off.
+        first.die()
+        with socket.socket() as deaf:
+            deaf.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            deaf.bind(tuple(first.address))
+            deaf.listen(0)
+            fill = [socket.socket() for _ in range(3)]
+            for each in fill:
+                each.setblocking(False)
+                each.connect_ex(tuple(first.address))
+            answers = [await s.ask("/charge/1", id=f"i{i}") for i in range(4)]
+            for each in fill:
+                each.close()
+        assert answers == [(200, b"HI")] * 4 and len(second.jobs) == 4
+    stage(scene)
+
+
+def test_half_a_request_and_a_silent_client_hold_up_nobody(stage):
+    async def scene(s):
+        writers = []
+        for data in (b"", job()[:40], job()[:-1]):
+            _, writer = await asyncio.open_connection(*s.address)
+            writer.write(data)
+            writers.append(writer)
+        assert await s.ask() == (200, b"HI")
+        assert sum(len(w.jobs) for w in s.workers) == 1
+        for writer in writers:
+            writer.close()
+    stage(scene)
