Close a worker's connection at once after a reset, and bound what streams read ahead

The connection ends first now; the test fails on the text before.

Streams read 16 KiB ahead in place of 64, and a client may leave 128 KiB of answers unread in place of 256.

--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -129,7 +129,7 @@
         """What was taken is answered; new connections are accepted for as long as they come."""
         begun = self.loop.time()
         seconds = min(LONGEST_STOP, max(row.expiry for row in self.plan.terms.categories) / it.SECOND)
-        log.info("stopping", held=len(self.engine.items), clients=len(self.listener.clients))
+        log.info("stopping", held=self.engine.owes(), clients=len(self.listener.clients))
         self.listener.stop_keeping()
         self.engine.stop(seconds)
         while self.loop.time() < begun + seconds:
--- a/heronwinch/net/discovery.py
+++ b/heronwinch/net/discovery.py
@@ -30,7 +30,8 @@
                 if self.streams is None or not self.side.reusable or not sockets.is_quiet(self.streams[1]):
                     self.close()
                     async with asyncio.timeout(PATIENCE):
-                        self.streams = await asyncio.open_connection(*self.address)
+                        self.streams = await asyncio.open_connection(
+                            *self.address, limit=sockets.READ_AHEAD)
                     self.side = DiscoverySide()
                 reader, writer = self.streams
                 writer.write(question(self.side))
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -15,7 +15,7 @@
 LONGEST_IDLE = 75.0  # seconds that a client's connection may stand between requests
 LONGEST_REQUEST = 10.0  # seconds that a request may take to come in
 ONE_MORE_LOOK = 0.001  # seconds: what came as a wait ended is not lost with its connection
-MOST_UNREAD = 256 * 1024  # bytes of answers that a client may leave unread
+MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread
 MOST_LEAVING = 8
 BACKLOG = 512
 
@@ -64,7 +64,7 @@
     async def _read_within(self, seconds):
         try:
             async with asyncio.timeout(seconds) as self.wait:
-                return await self.reader.read(65536)
+                return await self.reader.read(sockets.READ_AHEAD)
         except TimeoutError:
             raise
         except OSError:
@@ -94,7 +94,7 @@
             if self.writer.can_write_eof():
                 self.writer.write_eof()
             async with asyncio.timeout(sockets.LINGER):
-                while await self.reader.read(65536):
+                while await self.reader.read(sockets.READ_AHEAD):
                     pass
 
     def _react(self, told):
@@ -164,7 +164,8 @@
         self.server = None
 
     async def listen(self, host, port):
-        self.server = await asyncio.start_server(self._connected, host, port, limit=65536, backlog=BACKLOG)
+        self.server = await asyncio.start_server(
+            self._connected, host, port, limit=sockets.READ_AHEAD, backlog=BACKLOG)
 
     async def _connected(self, reader, writer):
         self.last_connected = self.engine.loop.time()
--- a/heronwinch/net/sockets.py
+++ b/heronwinch/net/sockets.py
@@ -7,6 +7,7 @@
 import struct
 
 SPARE = 24  # standard streams, the loop's own, listener, discovery, clients that are being turned away
+READ_AHEAD = 16 * 1024  # bytes that a stream reads before they are asked for, twice that at most
 LINGER = 2.0  # seconds that a closed connection may take to send what is left
 
 
@@ -54,7 +55,7 @@
     """The next bytes, b"" at the end of the connection, however it came; TimeoutError after so long."""
     try:
         async with asyncio.timeout(seconds):
-            return await reader.read(65536)
+            return await reader.read(READ_AHEAD)
     except TimeoutError:
         raise
     except OSError:
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -43,19 +43,19 @@
 class HandOff:
     """One hand-off that is out."""
 
-    __slots__ = ("workers", "item", "number", "worker", "until", "begun", "task", "settled")
+    __slots__ = ("workers", "item", "number", "worker", "until", "begun", "task", "outcome")
 
     def __init__(self, workers, item, number, worker, until):
         self.workers, self.item, self.number, self.worker = workers, item, number, worker
         self.until = until
         self.begun = workers.clock.now()
         self.task = None
-        self.settled = False
+        self.outcome = None
 
     def settle(self, over):
         """Its outcome; what is said of it later does not count."""
-        if not self.settled:
-            self.settled = True
+        if self.outcome is None:
+            self.outcome = over.outcome
             elapsed = self.workers.clock.now() - self.begun
             self.workers.engine.settle(self.item, self.number, self.worker.number, over, elapsed)
 
@@ -177,7 +177,7 @@
         seconds = min(self.terms.connect_timeout or it.SECOND, max(1, until - self.clock.now())) / it.SECOND
         try:
             async with asyncio.timeout(seconds):
-                streams = await asyncio.open_connection(*address, limit=65536)
+                streams = await asyncio.open_connection(*address, limit=sockets.READ_AHEAD)
         except OSError:  # TimeoutError is one
             self.open -= 1
             raise Unreachable from None
@@ -234,7 +234,8 @@
                 kept = self._keep(ho.worker, connection)
             elif await self._send(ho, connection):
                 await self._receive(ho, connection)
-                kept = await self._finish(ho.worker, connection)
+                # After a reset it may go again elsewhere at once: this one must not stay open meanwhile.
+                kept = ho.outcome != it.Outcome.RESET and await self._finish(ho.worker, connection)
         except TimeoutError:
             ho.settle(Over(it.Outcome.TIMEOUT))
         finally:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -7,11 +7,11 @@
 
 from heronwinch import interface as it
 from heronwinch.interface import Effect, Outcome
-from heronwinch.net.engine import Engine
+from heronwinch.net.engine import Engine, Item
 from heronwinch.net.indices import Indices
 from heronwinch.net.listener import LONGEST_IDLE, LONGEST_REQUEST, Client, Listener
 from heronwinch.net.watch import Clock, Watch
-from heronwinch.net.workers import Workers
+from heronwinch.net.workers import Connection, Workers
 from heronwinch.protocol.clients import Job
 from heronwinch.protocol.discovery import Host, Listing
 from heronwinch.protocol.workers import Over
@@ -208,6 +208,48 @@
     play(scene, {it.Arrived: lambda e: hand_off(e) * 2 + [it.Probe(3)]})
 
 
+# ---- hand-offs
+
+
+class Garbled:
+    """A connection on which half an answer comes, then something that is none, and nothing more."""
+
+    def __init__(self):
+        self.parts = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{]\n\r\n"]
+        self.transport = self
+
+    async def read(self, most):
+        return self.parts.pop() if self.parts else await asyncio.Event().wait()
+
+    async def drain(self):
+        pass
+
+    def write(self, data):
+        self.written = data
+
+    def set_write_buffer_limits(self, high):
+        assert high == 0
+
+    def abort(self):
+        self.aborted = True
+
+
+def test_after_a_reset_nothing_stays_open_while_it_may_go_again(workers):
+    async def main():
+        stream = Garbled()
+        workers.list(it.ListKind.FULL, Listing(1, True, (host("s"),)))
+
+        async def connect(*_):
+            return Connection(("127.0.0.1", 7070), stream, stream)
+        workers._connect = connect
+        item = Item(1, JOB, None, Effect.RERUNNABLE, workers.clock.now() + 1000 * MS)
+        workers.start(item, 0, 1, item.expiry)
+        while not workers.engine.named("settle"):
+            await asyncio.sleep(0)
+        assert workers.engine.named("settle")[0][4].outcome == Outcome.RESET and stream.aborted
+    asyncio.run(main())
+
+
 # ---- the list of workers
 
 
