--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Terms, a dispatcher under a hand-driven clock, frames of the wire, a program on sockets: for all tests."""
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -147,6 +148,9 @@
             while (await self.get("/-/ready"))[0] != 200:
                 await asyncio.sleep(0.02)
 
+    def descriptors(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
     async def get(self, path):
         try:
             return await self.talk(f"GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n".encode())
@@ -188,6 +192,22 @@
         return probe.getsockname()
 
 
+@contextlib.contextmanager
+def deaf(address=("127.0.0.1", 0)):
+    """An address whose queue is full: further connections neither come up nor are refused, as with a machine
+    that is cut off."""
+    with contextlib.ExitStack() as sockets:
+        server = sockets.enter_context(socket.socket())
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        server.bind(address)
+        server.listen(0)
+        for _ in range(3):
+            client = sockets.enter_context(socket.socket())
+            client.setblocking(False)
+            client.connect_ex(server.getsockname())
+        yield server.getsockname()
+
+
 def job(path="/render/1?sid=7", body=b"hi", id="ab12", close=False, deadline="5.0", **headers):
     lines = [f"POST {path} HTTP/1.1", "Host: backend.local", f"Req-Id: {id}", f"Req-Deadline: {deadline}",
              f"Content-Length: {len(body)}", *(f"{k.replace('_', '-')}: {v}" for k, v in headers.items())]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,10 +3,11 @@
 import asyncio
 
 import pytest
-from conftest import CATEGORY, MS, TERMS
+from conftest import CATEGORY, MS, TERMS, deaf
 
 from heronwinch import interface as it
 from heronwinch.interface import Effect, Outcome
+from heronwinch.net import discovery
 from heronwinch.net.engine import Engine, Item
 from heronwinch.net.indices import Indices
 from heronwinch.net.listener import LONGEST_IDLE, LONGEST_REQUEST, Client, Listener
@@ -250,6 +251,26 @@
     asyncio.run(main())
 
 
+def test_a_connection_to_an_address_of_the_past_is_not_kept(workers):
+    workers.list(it.ListKind.FULL, Listing(1, True, (host("s"),)))
+    worker, stream = workers.by_host["s"], Garbled()
+    assert workers._keep(worker, Connection(("127.0.0.1", 7070), stream, stream))
+    workers.list(it.ListKind.DELTA, Listing(2, False, (host("s", 7071),)))
+    assert stream.aborted and not workers.idle
+    assert not workers._keep(worker, Connection(("127.0.0.1", 7070), stream, stream))
+
+
+def test_a_discovery_that_never_accepts_is_given_up_soon(monkeypatch):
+    monkeypatch.setattr(discovery, "PATIENCE", 0.05)
+
+    async def main(address):
+        async with asyncio.timeout(10):
+            with pytest.raises(TimeoutError):
+                await discovery.Line(address).call(None, 3600)
+    with deaf() as address:
+        asyncio.run(main(address))
+
+
 # ---- the list of workers
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,14 +1,14 @@
 """The program itself, started and spoken to over sockets."""
 
 import asyncio
+import contextlib
 import os
 import signal
-import socket
 import subprocess
 import sys
 
 import pytest
-from conftest import ROOT, job
+from conftest import ROOT, deaf, job
 
 
 def test_served_and_the_job_goes_on_unchanged(stage):
@@ -107,7 +107,8 @@
     stage(scene)
 
 
-def test_a_draining_worker_gets_nothing_new(stage):
+@pytest.mark.parametrize("discovery", ["on_request", "pushed"])
+def test_a_draining_worker_gets_nothing_new(stage, discovery):
     async def scene(s):
         assert (await s.ask())[0] == 200
         while len(s.discovery.calls) < 1:
@@ -122,7 +123,7 @@
         before = len(first.jobs)
         assert [(await s.ask(id=f"i{i}"))[0] for i in range(10)] == [200] * 10
         assert len(first.jobs) == before
-    stage(scene)
+    stage(scene, discovery=discovery)
 
 
 def test_discovery_down_and_back(stage):
@@ -216,11 +217,10 @@
 
 def test_idle_clients_make_room_and_the_limit_on_sockets_is_kept(stage):
     async def scene(s):
-        idle = [await asyncio.open_connection(*s.address) for _ in range(8)]
-        await asyncio.sleep(0.1)
+        idle = [await asyncio.open_connection(*s.address) for _ in range(8)]  # accepted in this order
         assert (await s.ask())[0] == 200
         assert await idle[0][0].read() == b""  # the one that stood idle for longest was closed
-        assert len(os.listdir(f"/proc/{s.process.pid}/fd")) <= 40
+        assert s.descriptors() <= 40
         for _, writer in idle:
             writer.close()
     stage(scene, sockets=40)
@@ -230,10 +230,18 @@
     async def scene(s):
         for worker in s.workers:
             worker.mode = "silent"
-        busy = [asyncio.create_task(s.ask(id=f"i{i}", deadline="2")) for i in range(8)]
-        await asyncio.sleep(0.3)
-        assert (await s.ask(id="one more"))[0] == 503
-        await asyncio.gather(*busy)
+        connections = [await asyncio.open_connection(*s.address) for _ in range(8)]
+        for i, (_, writer) in enumerate(connections):
+            writer.write(job(id=f"i{i}", deadline="30"))
+        status = 0
+        while status != 503:  # until all are in, an idle one makes room, and its client would come again
+            with contextlib.suppress(TimeoutError, OSError):
+                async with asyncio.timeout(1):
+                    status, _ = await s.ask(id="more", deadline="30")
+        for _, writer in connections:
+            writer.close()
+        _, logged = await s.finish()
+        assert "client_turned_away" in logged
     stage(scene, sockets=40)
 
 
@@ -253,19 +261,9 @@
 def test_a_worker_that_never_accepts_is_given_up_in_time(stage):
     async def scene(s):
         first, second = s.workers
-        # Its queue is full: further connections neither come up nor are refused, as with a machine cut off.
         first.die()
-        with socket.socket() as deaf:
-            deaf.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            deaf.bind(tuple(first.address))
-            deaf.listen(0)
-            fill = [socket.socket() for _ in range(3)]
-            for each in fill:
-                each.setblocking(False)
-                each.connect_ex(tuple(first.address))
+        with deaf(tuple(first.address)):
             answers = [await s.ask("/charge/1", id=f"i{i}") for i in range(4)]
-            for each in fill:
-                each.close()
         assert answers == [(200, b"HI")] * 4 and len(second.jobs) == 4
     stage(scene)
 
