--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -224,13 +224,13 @@
 @pytest.fixture
 def stage(tmp_path):
     """Plays a scene, a coroutine function of a Stage; the program must then end by itself, faultless."""
-    def play(scene, workers=2, faults=(), sockets=1024, **settings):
+    def play(scene, workers=2, sockets=1024, **settings):
         async def run():
             async with Stage(tmp_path, settings, workers, sockets) as stage:
                 async with asyncio.timeout(30):  # nothing here takes so long unless it hangs
                     await scene(stage)
                 status, logged = await stage.finish()
                 assert status == 0, logged
-                assert {word for word in FAULTS if word in logged} == set(faults), logged
+                assert not [word for word in FAULTS if word in logged], logged
         asyncio.run(run())
     return play
