One reader of addresses, one call to discovery, one reckoning of time left

Read through for what was written twice; behaviour stays. host:port was taken apart in __main__ and in protocol/discovery, a watch and a fetch had the same course, hand-offs and probes reckoned their time left in three places, and the engine's count of modules said what the module itself says. The engine kept names that it never read.

--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -19,7 +19,7 @@
 from heronwinch.net.watch import Clock, Watch
 from heronwinch.net.workers import Workers
 from heronwinch.policy import Dispatcher
-from heronwinch.protocol.discovery import BadList, Listing, as_listing
+from heronwinch.protocol.discovery import BadList, Listing, as_address, as_listing
 from heronwinch.terms import Names, SettingsError, from_tree, read_names, read_terms
 
 log = structlog.get_logger()
@@ -78,10 +78,10 @@
 
 
 def _address(name, text):
-    host, _, port = str(text or "").rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise PlanError(f"{name} is no address: {text!r}")
-    return host.strip("[]"), int(port)
+    try:
+        return as_address(str(text or ""))
+    except ValueError:
+        raise PlanError(f"{name} is no address: {text!r}") from None
 
 
 class Program:
--- a/heronwinch/net/discovery.py
+++ b/heronwinch/net/discovery.py
@@ -68,7 +68,7 @@
         self.watching = asyncio.create_task(self._watch()) if on else None
 
     def fetch(self):
-        task = asyncio.create_task(self._fetch())
+        task = asyncio.create_task(self._call(DiscoverySide.ask_whole, PATIENCE))
         self.fetching.add(task)
         task.add_done_callback(self.fetching.discard)
 
@@ -77,22 +77,17 @@
         for task in self.fetching:
             task.cancel()
 
-    async def _watch(self):
+    def _watch(self):
         """Calls follow each other at once: a watch goes on only as long as the next comes within 200 ms."""
-        line = Line(self.address)
-        try:
-            while True:
-                self._tell(await line.call(
-                    lambda side: side.watch(self.workers.version, WAIT_MS), WAIT_MS / 1000 + PATIENCE))
-        except Exception as fault:
-            self._fail(fault)
-        finally:
-            line.close()
+        return self._call(lambda side: side.watch(self.workers.version, WAIT_MS), WAIT_MS / 1000 + PATIENCE,
+                          again=True)
 
-    async def _fetch(self):
+    async def _call(self, question, seconds, again=False):
         line = Line(self.address)
         try:
-            self._tell(await line.call(DiscoverySide.ask_whole, PATIENCE))
+            self._tell(await line.call(question, seconds))
+            while again:
+                self._tell(await line.call(question, seconds))
         except Exception as fault:
             self._fail(fault)
         finally:
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -38,7 +38,6 @@
     def __init__(self, make, terms, names, seed, clock, watch):
         self.make = make
         self.terms = terms
-        self.names = names
         self.random = Random(seed)
         self.clock = clock
         self.watch = watch
@@ -53,7 +52,6 @@
         self.stop_at = None
         self.workers = None
         self.discovery = None
-        self.generation = 0  # timers of a module that was given up ring no more
         self.dispatcher = make(terms, self.random.getrandbits(64))
         self.carry_out = {
             it.HandOff: self._hand_off, it.Defer: self._answer, it.WriteOff: self._answer,
@@ -99,7 +97,6 @@
     def _start_anew(self):
         """After a fault the module's state is in doubt: it goes as at a restart, with the list alone. Work
         items are answered, those handed off once their hand-off has ended."""
-        self.generation += 1
         self.events = []
         self.dispatcher = self.make(self.terms, self.random.getrandbits(64))
         for item in list(self.items.values()):
@@ -220,10 +217,10 @@
             self._drop(item)
 
     def _set_timer(self, action):
-        self.loop.call_later(action.after / it.SECOND, self._ring, action.token, self.generation)
+        self.loop.call_later(action.after / it.SECOND, self._ring, action.token, self.dispatcher)
 
-    def _ring(self, token, generation):
-        if generation == self.generation:
+    def _ring(self, token, dispatcher):
+        if dispatcher is self.dispatcher:  # timers of a module that was given up ring no more
             self.post(it.Rang(token))
 
     # ---- the end of a work item
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -247,7 +247,7 @@
         the work item never ran; from then on it may have."""
         transport = connection.writer.transport
         transport.set_write_buffer_limits(high=0)  # drained means that nothing is left here
-        seconds = max(0, ho.until - self.clock.now()) / it.SECOND
+        seconds = self._seconds_to(ho.until)
         connection.writer.write(connection.side.hand_off(ho.item.job, seconds))
         try:
             async with asyncio.timeout(seconds):
@@ -262,7 +262,7 @@
     async def _receive(self, ho, connection):
         side = connection.side
         while not side.over:
-            seconds = max(0, ho.until - self.clock.now()) / it.SECOND
+            seconds = self._seconds_to(ho.until)
             for news in side.feed(await sockets.read(connection.reader, seconds)):
                 if type(news) is Note:
                     self.engine.note(ho.item, ho.number, ho.worker.number, *news)
@@ -279,6 +279,9 @@
                 log.error("hand_off_fault", worker=ho.worker.host, exc_info=ho.task.exception())
         ho.settle(Over(it.Outcome.RESET))
 
+    def _seconds_to(self, until):
+        return max(0, until - self.clock.now()) / it.SECOND
+
     def _left_long_ago(self, worker):
         return (worker.entry.standing != it.Standing.READY
                 and self.clock.now() - worker.left > self.terms.drain_grace // 2)
@@ -317,7 +320,7 @@
         try:
             connection.writer.write(connection.side.probe(self.terms.reports))
             while True:
-                seconds = max(0, until - self.clock.now()) / it.SECOND
+                seconds = self._seconds_to(until)
                 data = await sockets.read(connection.reader, seconds)
                 for over in connection.side.feed(data):
                     kept = await self._finish(worker, connection)
--- a/heronwinch/protocol/discovery.py
+++ b/heronwinch/protocol/discovery.py
@@ -87,12 +87,17 @@
         raise BadList(f"no list: {type(fault).__name__}: {fault}") from None
 
 
+def as_address(text):
+    """The host and port of host:port."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
 def _host(entry):
-    address, _, port = entry["dial"].rpartition(":")
-    if not address or not 0 < int(port) < 65536:
-        raise ValueError(f"dial {entry['dial']!r}")
     return Host(
-        host=str(entry["host"]), address=(address.strip("[]"), int(port)), area=str(entry.get("site", "")),
+        host=str(entry["host"]), address=as_address(entry["dial"]), area=str(entry.get("site", "")),
         kind=str(entry.get("class", "")), pod=int(entry.get("block", 0)),
         # A state of which nothing is known promises no service: nothing new goes there.
         standing=STANDINGS.get(entry["health"], Standing.DRAINING), weight=float(entry.get("share", 1.0)),
