Judge requests on the head, bound how long and how many clients may stay

Checked: h11 prefers Transfer-Encoding where Content-Length is there too and folds equal lengths into one, so the event does not show it; the raw head does. urlsplit raises on "//[x", float() takes nan and 1_0. Time limits were 10 s for half a request and 75 s for silent strangers (listener.py, LONGEST_REQUEST, LONGEST_IDLE). asyncio accepts up to `backlog` (512) connections in one turn, so a flood could take every descriptor. At fault: protocol/clients.py _read (judged after the body, lengths not at all), listener.py _make_room (longest idle first, whoever it was) and Budget (half of the descriptors, lingering closes not counted).

--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -42,6 +42,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: int
     known: Listing
     terms: it.Terms
     names: Names
@@ -67,6 +68,7 @@
             discovery=_address("discovery", environ.get("RELAY_DISCOVERY") or tree.get("discovery")),
             seed=int(str(tree.get("seed", "0")), 16),
             sockets=int(tree.get("limits", {}).get("sockets", 1024)),
+            memory_mb=int(tree.get("limits", {}).get("memory_mb", 192)),
             known=as_listing(tree.get("known") or {"seq": 0, "whole": True, "hosts": []}),
             terms=read_terms(values)._replace(may_tell=False),  # no messages between dispatchers on sockets
             names=read_names(values),
@@ -93,12 +95,12 @@
         self.loop = asyncio.get_running_loop()
         self.watch = Watch()
         clock = Clock()
-        budget = Budget(plan.sockets)
+        budget = Budget(plan.sockets, plan.memory_mb)
         self.engine = Engine(Dispatcher, terms, names, plan.seed, clock, self.watch)
         self.workers = Workers(self.engine, names, terms, budget.workers, clock, self.watch)
         self.discovery = Discovery(self.engine, self.workers, plan.discovery, self.watch)
         self.engine.workers, self.engine.discovery = self.workers, self.discovery
-        self.listener = Listener(self.engine, budget.clients, self.watch)
+        self.listener = Listener(self.engine, budget, self.watch)
         self.stop = asyncio.Event()
 
     async def run(self):
--- a/heronwinch/net/discovery.py
+++ b/heronwinch/net/discovery.py
@@ -46,7 +46,7 @@
 
     def close(self):
         if self.streams is not None:
-            sockets.close(self.streams[1])
+            self.streams[1].transport.abort()
             self.streams = None
 
 
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -6,11 +6,13 @@
 import structlog
 
 from heronwinch import interface as it
-from heronwinch.net.indices import Indices
+from heronwinch.net.indices import Indices, Taken
+from heronwinch.protocol.clients import Door, as_path
 
 log = structlog.get_logger()
 
 MARGIN = 2_000_000  # an answer is on its way so long before the client's time is up
+REMEMBERED = 10 * it.SECOND, 4096  # ids of ended work items: for so long, so many
 OVERDUE = 0.02  # seconds after its expiry a work item that the module has not answered is answered here
 
 
@@ -42,8 +44,9 @@
         self.clock = clock
         self.watch = watch
         self.loop = asyncio.get_running_loop()
-        self.categories = {name: i for i, name in enumerate(names.categories)}
+        self.categories = {as_path(name): i for i, name in enumerate(names.categories)}
         self.keys = Indices()
+        self.taken = Taken(clock, *REMEMBERED)
         self.items = {}
         self.count = 0
         self.events = []
@@ -64,6 +67,12 @@
             it.Tell: lambda a: self.watch.count("untold"),  # sockets have no messages between dispatchers
         }
 
+    def door(self):
+        """What clients' requests are judged by."""
+        rows = self.terms.categories
+        return Door({path: rows[i].effect == it.Effect.TICKETED for path, i in self.categories.items()},
+                    self.taken)
+
     # ---- events
 
     def post(self, event):
@@ -114,11 +123,10 @@
             self._end(item, it.Defer(item.number, 0))
 
     def arrive(self, job, client, came):
-        """Takes a client's job; None where its category is not known."""
-        category = self.categories.get(job.category)
-        if category is None:
-            return None
+        """Takes a client's job."""
+        category = self.categories[job.category]
         row = self.terms.categories[category]
+        self.taken.take(job.id)
         # The client counts from when it sent it, so from the first byte here, not from the last.
         time_left = max(0, came - self.clock.now() - MARGIN + (
             row.expiry if job.time_left is None else job.time_left))
@@ -241,5 +249,5 @@
 
     def _drop(self, item):
         """Forgotten once it is answered and nothing is out for it."""
-        if item.ended and not item.out:
-            self.items.pop(item.number, None)
+        if item.ended and not item.out and self.items.pop(item.number, None) is not None:
+            self.taken.let_go(item.job.id)
--- a/heronwinch/net/indices.py
+++ b/heronwinch/net/indices.py
@@ -1,4 +1,6 @@
-"""Small numbers for the names that come from outside."""
+"""Small numbers for the names that come from outside, and the names taken of late."""
+
+from collections import deque
 
 
 class Indices:
@@ -29,3 +31,25 @@
             if not entry[1]:
                 del self.held[name]
                 self.free.append(entry[0])
+
+
+class Taken:
+    """The ids of work items while these are held and for a while after: an id is new with every request, so
+    one that comes again is another's, and a worker that gets it twice cannot tell them apart."""
+
+    def __init__(self, clock, age, most):
+        self.clock, self.age, self.most = clock, age, most
+        self.ids = set()
+        self.past = deque()  # (when it was let go, id)
+
+    def __contains__(self, id):
+        return id in self.ids
+
+    def take(self, id):
+        self.ids.add(id)
+
+    def let_go(self, id):
+        now = self.clock.now()
+        self.past.append((now, id))
+        while self.past[0][0] < now - self.age or len(self.past) > self.most:
+            self.ids.discard(self.past.popleft()[1])
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -12,11 +12,12 @@
 
 log = structlog.get_logger()
 
-LONGEST_IDLE = 75.0  # seconds that a client's connection may stand between requests
-LONGEST_REQUEST = 10.0  # seconds that a request may take to come in
+LONGEST_IDLE = 75.0  # seconds that the connection of a client that has handed in work may stand idle
+LONGEST_REQUEST = 1.5  # seconds that a request may take to come in: a first one from connecting on
+SHORTEST_IDLE = 1.0  # seconds before such a connection makes room for a new one
 ONE_MORE_LOOK = 0.001  # seconds: what came as a wait ended is not lost with its connection
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread
-MOST_LEAVING = 8
+MOST_UNHEARD = 64 * 1024  # bytes that are read and thrown away after the last answer
 BACKLOG = 512
 
 
@@ -27,9 +28,11 @@
         self.listener = listener
         self.engine = listener.engine
         self.reader, self.writer = reader, writer
-        self.side = ClientSide()
+        self.side = ClientSide(listener.door)
         self.item = None
-        self.came = 0  # when the first byte of the present request came
+        self.came = self.connected = self.engine.clock.now()  # the first byte of the present request
+        self.rested = 0  # since when it stands between two requests
+        self.known = 0  # how often it has handed in work
         self.wait = None  # the time limit of the present read
         self.ended = False  # its last answer is written
 
@@ -40,7 +43,6 @@
                 return
             if self.side.between:
                 self.came = self.engine.clock.now() - sockets.age(self.writer)
-                self.listener.idle.pop(self, None)
             self._react(self.side.feed(data))
             self._rest()
         await self.linger()
@@ -77,10 +79,11 @@
             return 0
         if self.side.owed:
             return None  # its work item has an expiry, and the answer sets a limit again
-        if self.side.between:
+        if self.side.between and self.known:
             return LONGEST_IDLE
-        # For the whole of it: a byte now and then does not hold a connection for ever.
-        return max(0.0, LONGEST_REQUEST - (self.engine.clock.now() - self.came) / SECOND)
+        # For the whole of it: neither silence nor a byte now and then holds a connection for ever.
+        since = self.came if self.known else self.connected
+        return max(0.0, LONGEST_REQUEST - (self.engine.clock.now() - since) / SECOND)
 
     def wake(self, seconds):
         """A new time limit for the read that is under way."""
@@ -89,13 +92,18 @@
                 self.wait.reschedule(None if seconds is None else self.engine.loop.time() + seconds)
 
     async def linger(self):
-        """Closed with bytes unread, a connection is reset, and the last answer may be lost with it."""
-        with contextlib.suppress(OSError):
+        """Closed with bytes unread, a connection is reset, and the last answer may be lost with it. Who sends
+        on and on is not read for longer than that takes: a flood of bytes would cost the others' time."""
+        left = MOST_UNHEARD
+        with contextlib.suppress(OSError):  # TimeoutError is one
             if self.writer.can_write_eof():
                 self.writer.write_eof()
             async with asyncio.timeout(sockets.LINGER):
-                while await self.reader.read(sockets.READ_AHEAD):
-                    pass
+                while data := await self.reader.read(sockets.READ_AHEAD):
+                    left -= len(data)
+                    if left < 0:
+                        self.writer.transport.pause_reading()
+                        await asyncio.sleep(sockets.LINGER)
 
     def _react(self, told):
         for event in told:
@@ -103,9 +111,8 @@
             if kind is Say:
                 self.writer.write(event.data)
             elif kind is Job:
+                self.known += 1
                 self.item = self.engine.arrive(event, self, self.came)
-                if self.item is None:
-                    self._refuse(Refused(404, "no such category"))
             elif kind is ReadyAsked:
                 self._say(503 if self.listener.stopping else 200)
             elif kind is Refused:
@@ -123,14 +130,13 @@
         self.writer.write(data)
         if self.writer.transport.get_write_buffer_size() > MOST_UNREAD:
             self.writer.transport.abort()
-        elif not self.ended:
-            self.came = self.engine.clock.now() - sockets.age(self.writer)
-            self._react(self.side.further())
         self._rest()
 
     def _rest(self):
-        if self.side.between and not self.ended:
-            self.listener.idle[self] = None
+        """Where it stands among those that may have to make room."""
+        if self.side.between and self.known:
+            self.rested = self.engine.clock.now()
+        self.listener.place(self)
         self.wake(self._limit())
 
     # ---- what the engine has to say to the client of a work item
@@ -152,29 +158,39 @@
 
 
 class Listener:
-    def __init__(self, engine, most, watch):
+    def __init__(self, engine, budget, watch):
         self.engine = engine
-        self.most = most
+        self.door = engine.door()
+        self.budget = budget
         self.watch = watch
-        self.clients = set()
-        self.idle = OrderedDict()  # clients between two requests, the longest so first
-        self.leaving = 0  # clients that are being turned away
+        self.clients = {}  # every connection up to when its descriptor is free -> its task
+        self.ended = OrderedDict()  # clients whose last answer is written
+        self.strangers = OrderedDict()  # those that have not handed in any work yet
+        self.once = OrderedDict()  # those that have once, and say nothing since
+        self.idle = OrderedDict()  # those that have more often, between requests; in all the longest so first
+        self.leaving = set()  # clients that are being turned away
         self.stopping = False
         self.last_connected = 0.0
         self.server = None
 
     async def listen(self, host, port):
+        sock = sockets.listening(host, port)
+        # Accepted all in one turn, a flood of connections takes all descriptors before any can be looked at.
         self.server = await asyncio.start_server(
-            self._connected, host, port, limit=sockets.READ_AHEAD, backlog=BACKLOG)
+            self._connected, sock=sock, limit=sockets.READ_AHEAD, backlog=self.budget.accepts)
+        sock.listen(BACKLOG)
 
-    async def _connected(self, reader, writer):
+    def _connected(self, reader, writer):
         self.last_connected = self.engine.loop.time()
         client = Client(self, reader, writer)
-        if len(self.clients) >= self.most and not self._make_room():
-            await self._turn_away(client)
-            return
-        self.clients.add(client)
-        self.idle[client] = None
+        if len(self.clients) < self.budget.clients or self._make_room():
+            self.clients[client] = asyncio.create_task(self._serve(client))
+            self.place(client)
+        else:
+            self.watch.count("client_turned_away")
+            self._turn_away(client)
+
+    async def _serve(self, client):
         try:
             await client.serve()
         except asyncio.CancelledError:
@@ -182,40 +198,66 @@
         except Exception:
             if self.watch.count("client_fault"):
                 log.exception("client_fault")
-        finally:
-            self.clients.discard(client)
-            self.idle.pop(client, None)
-            sockets.close(writer)
+        try:
             if client.item is not None:
                 self.watch.count("client_left")
                 self.engine.leave(client.item)
+            self._take_out(client)
+            await sockets.closed(client.writer)
+        finally:
+            del self.clients[client]
+
+    def place(self, client):
+        """Where a client stands that may have to make room for others."""
+        self._take_out(client)
+        if client not in self.clients:
+            return
+        if client.ended:
+            self.ended[client] = None
+        elif not client.known:
+            self.strangers[client] = None
+        elif client.side.between:
+            (self.once if client.known == 1 else self.idle)[client] = None
+
+    def _take_out(self, client):
+        for group in (self.ended, self.strangers, self.once, self.idle):
+            group.pop(client, None)
 
-    async def _turn_away(self, client):
+    def _turn_away(self, client):
         """With all clients busy: nothing of it has run, so a further one is told to try again. A few of these
         at a time are heard out, as otherwise the answer is lost with their connection."""
-        self.watch.count("client_turned_away")
-        self.leaving += 1
-        try:
-            if self.leaving <= MOST_LEAVING:
-                client.turn_away()
-                await client.linger()
-        finally:
-            sockets.close(client.writer)
-            self.leaving -= 1
+        if len(self.leaving) >= self.budget.leaving:
+            client.writer.transport.abort()
+            return
+        client.turn_away()
+        task = asyncio.create_task(self._see_out(client))
+        self.leaving.add(task)
+        task.add_done_callback(self.leaving.discard)
+
+    async def _see_out(self, client):
+        await client.linger()
+        await sockets.closed(client.writer)
 
     def _make_room(self):
-        """Closes the connection that has stood idle for longest."""
-        if not self.idle:
+        """A connection that has had its last answer goes first, then one that has handed in no work yet, then
+        one that has once and stands idle. Of the others only one that has done so for long: floods must not
+        cost the usual clients their connections."""
+        for group in (self.ended, self.strangers, self.once):
+            if group:
+                client, _ = group.popitem(last=False)
+                client.writer.transport.abort()
+                return True
+        client = next(iter(self.idle), None)
+        if client is None or self.engine.clock.now() - client.rested < SHORTEST_IDLE * SECOND:
             return False
-        client, _ = self.idle.popitem(last=False)
-        self.clients.discard(client)
+        del self.idle[client]
         client.wake(0)
         return True
 
     def stop_keeping(self):
         """From now on connections end with the answer that is owed on them, idle ones at once."""
         self.stopping = True
-        for client in list(self.idle):
+        for client in [*self.once, *self.idle]:
             client.wake(0)
 
     def close(self):
--- a/heronwinch/net/sockets.py
+++ b/heronwinch/net/sockets.py
@@ -1,26 +1,36 @@
 """How many sockets there may be, and for whom."""
 
 import asyncio
+import contextlib
 import resource
 import select
 import socket
 import struct
 
-SPARE = 24  # standard streams, the loop's own, listener, discovery, clients that are being turned away
-READ_AHEAD = 16 * 1024  # bytes that a stream reads before they are asked for, twice that at most
-LINGER = 2.0  # seconds that a closed connection may take to send what is left
+SPARE = 20  # standard streams, the loop's own, listener, discovery: at a reload the old and the new one
+READ_AHEAD = 8 * 1024  # bytes that a stream reads before they are asked for, twice that at most
+PIECE = 32 * 1024  # bytes that the system holds for a client's connection; it takes twice that
+LINGER = 0.5  # seconds that a connection may take to send what is left, and its peer to read it
+BARE = 28  # MB that the program takes without connections
+FULL = 160 * 1024  # bytes of a connection at its fullest: body, head, read ahead, one piece
+FEWEST = 64  # connections that there may be however little memory
 
 
 class Budget:
-    """Client connections may take half, connections to workers the rest; so neither shuts out the other."""
+    """How many descriptors clients may hold, a third in all: of these some are for connections that are still
+    to be looked at, and some for those that are turned away. What is left is for workers, so neither shuts
+    out the other. Never so many that all of them full would take more than the memory."""
 
-    def __init__(self, most):
+    def __init__(self, most, memory_mb):
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         if soft != resource.RLIM_INFINITY:
             most = min(most, soft)
-        room = max(8, most - SPARE)
-        self.clients = room // 2
-        self.workers = room - self.clients
+        most = min(most, max(FEWEST, (memory_mb - BARE) * 1024 * 1024 // FULL))
+        third = most // 3
+        self.accepts = max(1, third // 16)  # a loop turn; they may count for three turns
+        self.leaving = max(1, third // 16)
+        self.clients = max(1, third - 3 * self.accepts - self.leaving)
+        self.workers = max(1, most - third - SPARE)
 
 
 def age(writer):
@@ -44,11 +54,28 @@
     return not poll.poll(0)
 
 
-def close(writer):
-    """Close once all is written; a peer that does not read does not hold the socket for ever."""
+async def closed(writer):
+    """Close once all is written, and be back when the descriptor is free; a peer that does not read does not
+    hold it for long."""
     writer.close()
-    if writer.transport.get_write_buffer_size():
-        asyncio.get_running_loop().call_later(LINGER, writer.transport.abort)
+    limit = asyncio.get_running_loop().call_later(LINGER, writer.transport.abort)
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+    limit.cancel()
+
+
+def listening(host, port):
+    """A socket that listens; what the system holds for each of its connections is bounded."""
+    family, kind, proto, _, address = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
+    sock = socket.socket(family, kind, proto)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE)
+        sock.bind(address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
 
 
 async def read(reader, seconds):
--- a/heronwinch/protocol/clients.py
+++ b/heronwinch/protocol/clients.py
@@ -1,8 +1,10 @@
-"""The client side: jobs that clients hand in, and the answers they get."""
+"""The client side: jobs that clients hand in, and the answers they get. All input is judged here, as much of
+it as can be on the head alone: nothing of a bad request goes any further."""
 
 import re
+from collections.abc import Container
 from typing import NamedTuple
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, quote
 
 import h11
 
@@ -10,11 +12,24 @@
 from heronwinch.protocol.asking import MOST_BODY, MOST_HEAD
 from heronwinch.protocol.buffer import Buffer, TooLong
 
-PLAIN = re.compile(rb"[!-~]{1,200}")  # workers name it in JSON
+ID = re.compile(rb"[0-9A-Za-z._~:-]{1,128}")
+TICKET = re.compile(rb"[!-~]{1,256}")
+NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]*)?([eE][-+]?[0-9]{1,2})?")  # float() takes far more: nan, 1_0, " 7"
+HEAD_END = re.compile(rb"\n\r?\n")
+LENGTHS = re.compile(rb"^content-length[ \t]*:(.*)$", re.IGNORECASE | re.MULTILINE)
+FOLDED = re.compile(rb"\n[ \t]")
+ONCE = (b"req-id", b"req-deadline", b"idempotency-key", b"req-extra", b"req-retry", b"expect")
 LONGEST = 86_400  # seconds that a client may be willing to wait
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-           408: b"Request Timeout", 413: b"Content Too Large", 500: b"Internal Server Error",
-           503: b"Service Unavailable"}
+           408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+           500: b"Internal Server Error", 503: b"Service Unavailable"}
+
+
+class Door(NamedTuple):
+    """What a head is judged by."""
+
+    needs_ticket: dict[str, bool]  # by category
+    taken: Container[bytes]  # the ids of work items that are open, or were a moment ago
 
 
 class Job(NamedTuple):
@@ -61,41 +76,43 @@
     status = 405
 
 
+class Taken(BadRequest):
+    status = 409
+
+
+class TooMuch(BadRequest):
+    status = 413
+
+
 class ClientSide:
-    def __init__(self):
+    def __init__(self, door):
+        self.door = door
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.body = Buffer(MOST_BODY)
-        self.request = None
+        self.asked = None  # what its head asks for, while a request comes in
         self.owed = False  # a whole request was taken and is not answered
         self.broken = False
 
     @property
     def between(self):
         """Whether nothing of a further request has been seen."""
-        return not self.owed and not self.broken and self.request is None and not self.h11.trailing_data[0]
+        return not self.owed and not self.broken and self.asked is None and not self.h11.trailing_data[0]
 
     def feed(self, data):
-        """What these bytes complete, in order. Bytes after a request that is still owed an answer wait for
-        `answer`, as far as there is room."""
+        """What these bytes complete, in order."""
         if self.broken:
             return []
-        self.h11.receive_data(data)
         if self.owed:
-            if len(self.h11.trailing_data[0]) > MOST_BODY + MOST_HEAD:
-                self.broken = True  # it sends and sends without waiting for its answer
-                return [Refused(400, "too much before the answer")]
-            return []
-        return self.further()
-
-    def further(self):
-        """What the bytes already here complete."""
+            return [self._refuse(400, "more before the answer")]
+        self.h11.receive_data(data)
         told = []
-        while not self.owed and not self.broken:
-            try:
+        try:
+            while not self.owed:
+                head = self.h11.trailing_data[0] if self.asked is None else b""
                 event = self.h11.next_event()
                 kind = type(event)
                 if kind is h11.Request:
-                    self.request = event
+                    self.asked = _judge(event, HEAD_END.split(head, maxsplit=1)[0], self.door)
                     if self.h11.they_are_waiting_for_100_continue:
                         go_on = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
                         told.append(Say(self.h11.send(go_on)))
@@ -105,10 +122,12 @@
                     told.append(self._whole())
                 else:
                     break
-            except h11.RemoteProtocolError as fault:
-                told.append(self._refuse(fault.error_status_hint, str(fault)))
-            except TooLong as fault:
-                told.append(self._refuse(413, str(fault)))
+        except h11.RemoteProtocolError as fault:
+            told.append(self._refuse(fault.error_status_hint, str(fault)))
+        except TooLong as fault:
+            told.append(self._refuse(413, str(fault)))
+        except BadRequest as fault:
+            told.append(self._refuse(fault.status, str(fault)))
         return told
 
     def answer(self, status, body=b"", headers=(), close=False):
@@ -119,8 +138,8 @@
         send = self.h11.send
         data = send(h11.Response(status_code=status, headers=headers, reason=REASONS.get(status, b"")))
         data += (send(h11.Data(data=body)) if body else b"") + send(h11.EndOfMessage())
-        self.owed, self.request = False, None
-        if self.h11.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+        self.owed, self.asked = False, None
+        if not self.broken and self.h11.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             self.h11.start_next_cycle()
             return data, False
         self.broken = True
@@ -132,45 +151,79 @@
         return Refused(status, reason)
 
     def _whole(self):
-        request, body = self.request, self.body.take()
+        # Clients send one request at a time. Bytes that come with one or before its answer are the rest of
+        # a body longer than its head says, or a request hidden in it.
+        if self.h11.trailing_data[0]:
+            raise BadRequest("more after the request")
+        asked, body = self.asked, self.body.take()
+        if type(asked) is Job:
+            if asked.id in self.door.taken:  # it may have been taken since the head came
+                raise Taken("Req-Id is that of an open request")
+            asked = asked._replace(body=body)
         self.owed = True
-        try:
-            return _read(request, body)
-        except BadRequest as fault:
-            return self._refuse(fault.status, str(fault))
+        return asked
 
 
-def _read(request, body):
-    url = urlsplit(request.target.decode("latin-1"))
-    if url.path == "/-/ready":
+def _judge(request, head, door):
+    """The request a head asks for, still without its body."""
+    headers = dict(request.headers)
+    names = [name for name, _ in request.headers]
+    # Guards against a request hidden in another's body: h11 prefers Transfer-Encoding where both are there
+    # and keeps one of several equal lengths, and the next reader may do otherwise.
+    lengths = LENGTHS.findall(head)
+    if lengths and b"transfer-encoding" in headers:
+        raise BadRequest("Content-Length with Transfer-Encoding")
+    if len(lengths) > 1 or lengths and not lengths[0].strip().isdigit() or FOLDED.search(head):
+        raise BadRequest("repeated or folded headers")
+    if lengths and int(lengths[0]) > MOST_BODY:
+        raise TooMuch(f"over {MOST_BODY} bytes")
+    path, _, query = request.target.decode("latin-1").partition("?")
+    if not path.startswith("/") or "#" in path + query:
+        raise BadRequest("the target is no path")
+    if path == "/-/ready":
         if request.method != b"GET":
             raise WrongMethod("GET only")
         return ReadyAsked()
     if request.method != b"POST":
         raise WrongMethod("work comes by POST")
-    headers = dict(request.headers)
-    id = headers.get(b"req-id", b"")
-    if not PLAIN.fullmatch(id):
+    for name in ONCE:
+        if names.count(name) > 1:
+            raise BadRequest(f"{name.decode()} is repeated")
+    category = path[1:].split("/", 1)[0]
+    if category not in door.needs_ticket:
+        raise NoSuchPath("no such category")
+    id, ticket = headers.get(b"req-id", b""), headers.get(b"idempotency-key")
+    if not ID.fullmatch(id):
         raise BadRequest("Req-Id is missing or no plain word")
+    if id in door.taken:
+        raise Taken("Req-Id is that of an open request")
+    if door.needs_ticket[category] if ticket is None else not TICKET.fullmatch(ticket):
+        raise BadRequest("Idempotency-Key is missing or no plain word")
     extra = _extra(headers.get(b"req-extra", b"").decode("latin-1"))
     return Job(
-        id=id, target=request.target, ticket=headers.get(b"idempotency-key"), body=body,
-        category=unquote(url.path.lstrip("/").split("/", 1)[0]),
-        key=parse_qs(url.query).get("sid", [""])[0],
-        time_left=_seconds(headers.get(b"req-deadline")),
+        id=id, target=request.target, ticket=ticket, body=b"", category=category,
+        key=parse_qs(query).get("sid", [""])[0], time_left=_seconds(headers.get(b"req-deadline")),
         slots=extra.get("slots", 1.0), memory=extra.get("memory", 0.0),
         repeated=headers.get(b"req-retry") == b"1",
     )
 
 
+def as_path(category):
+    """A category's name as the first part of a path."""
+    return quote(category, safe="!$&'()*+,;=:@")
+
+
+def _number(name, text):
+    if not NUMBER.fullmatch(text):
+        raise BadRequest(f"{name} is no number")
+    return float(text)
+
+
 def _seconds(value):
     if value is None:
         return None
-    try:
-        seconds = float(value)
-    except ValueError:
-        raise BadRequest("Req-Deadline is no number") from None
-    if not 0 <= seconds <= LONGEST:
+    seconds = _number("Req-Deadline", value.decode("latin-1"))
+    if seconds > LONGEST:
         raise BadRequest("Req-Deadline is out of range")
     return round(seconds * SECOND)
 
@@ -179,10 +232,7 @@
     figures = {}
     for part in text.split(",") if text else ():
         name, _, value = part.partition("=")
-        try:
-            figures[name.strip()] = float(value)
-        except ValueError:
-            raise BadRequest(f"Req-Extra: {name.strip()} is no number") from None
-    if not all(0 <= figure < 1e6 for figure in figures.values()):
+        figures[name.strip()] = _number("Req-Extra: " + name.strip(), value.strip())
+    if not all(figure < 1e6 for figure in figures.values()):
         raise BadRequest("Req-Extra is out of range")
     return figures
