Read the configuration again on SIGHUP and move to discovery's new address at once

Checked: nothing in __main__.py handled it; the new file names another discovery, a `known` list and the same settings. Ruled out: restarts (they follow, and end with 0). At fault: __main__.py run (no handler), net/discovery.py (one address for life, a watch from the last version heard, whoever's it was, and 2.5 s of patience beyond its 20 s where a change counts as told 2 s after them).

--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -48,24 +48,26 @@
     names: Names
 
 
-def read_plan(environ):
-    """All that a dispatcher is told; the variables come before the file, which holds the same and more."""
+def read_plan(environ, again=False):
+    """All that a dispatcher is told. The variables come before the file, which holds the same and more; read
+    again, the file says where discovery is now."""
     path = environ.get("RELAY_CONFIG")
     if not path:
         raise PlanError("RELAY_CONFIG is not set")
     try:
         with open(path, encoding="utf-8") as file:
             tree = json.load(file)
-    except (OSError, ValueError) as fault:
+    except (OSError, ValueError, RecursionError) as fault:
         raise PlanError(f"cannot read {path}: {fault}") from None
     if not isinstance(tree, dict) or not isinstance(tree.get("settings"), dict):
         raise PlanError(f"{path}: settings are missing")
-    values = from_tree(tree["settings"])
+    discovery = environ.get("RELAY_DISCOVERY"), tree.get("discovery")
     try:
+        values = from_tree(tree["settings"])
         return Plan(
             name=environ.get("RELAY_NAME") or str(tree.get("name", "")),
             listen=_address("listen", environ.get("RELAY_LISTEN") or tree.get("listen")),
-            discovery=_address("discovery", environ.get("RELAY_DISCOVERY") or tree.get("discovery")),
+            discovery=_address("discovery", discovery[again] or discovery[not again]),
             seed=int(str(tree.get("seed", "0")), 16),
             sockets=int(tree.get("limits", {}).get("sockets", 1024)),
             memory_mb=int(tree.get("limits", {}).get("memory_mb", 192)),
@@ -75,7 +77,7 @@
         )
     except (SettingsError, BadList, PlanError) as fault:
         raise PlanError(f"{path}: {fault}") from None
-    except (ValueError, TypeError, AttributeError) as fault:
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
         raise PlanError(f"{path}: {type(fault).__name__}: {fault}") from None
 
 
@@ -107,6 +109,7 @@
         self.loop.set_exception_handler(self._stray)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.engine.post(self.workers.list(it.ListKind.CACHED, self.plan.known))
         if self.plan.terms.pushed_list:
             self.discovery.subscribe(True)
@@ -118,6 +121,35 @@
         await self.stop.wait()
         await self._stop()
 
+    def reload(self):
+        """The configuration is read again; what can change while it runs does so at once."""
+        if self.stop.is_set():
+            return
+        old = self.plan
+        try:
+            new = read_plan(os.environ, again=True)
+            budget = Budget(new.sockets, new.memory_mb)
+        except PlanError as fault:
+            log.error("reload_refused", why=str(fault))
+            return
+        fixed = [name for name in ("listen", "names") if getattr(new, name) != getattr(old, name)]
+        changed = [name for name in Plan._fields if getattr(new, name) != getattr(old, name)]
+        self.plan = new._replace(listen=old.listen, names=old.names)
+        if new.names != old.names:
+            # Work items and workers are held under the numbers of these names.
+            self.plan = self.plan._replace(terms=old.terms)
+        elif new.terms != old.terms:
+            self.workers.terms = new.terms
+            self.engine.change(new.terms)
+            self.listener.judge_by(self.engine.door())
+        self.listener.budget, self.workers.most = budget, budget.workers
+        if (news := self.workers.remember(new.known)) is not None:
+            self.engine.post(news)
+        if new.discovery != old.discovery:
+            self.discovery.move(new.discovery)
+        log.info("reloaded", changed=",".join(changed), discovery=":".join(map(str, new.discovery)),
+                 needs_restart=",".join(fixed))
+
     def _every(self, seconds, act):
         self.loop.call_later(seconds, self._every, seconds, act)
         act()
@@ -163,6 +195,7 @@
         logger_factory=structlog.WriteLoggerFactory(sys.stderr),
         cache_logger_on_first_use=True,
     )
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # up to when it can be heeded, the file is still to be read
     try:
         plan = read_plan(os.environ)
     except PlanError as fault:
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -203,6 +203,12 @@
     time_left: int
 
 
+class Changed(NamedTuple):
+    """New terms, of the same categories in the same order."""
+
+    terms: Terms
+
+
 class Forgotten(NamedTuple):
     """A worker that is gone and will not be named again."""
 
--- a/heronwinch/net/discovery.py
+++ b/heronwinch/net/discovery.py
@@ -1,6 +1,7 @@
 """The connection to discovery."""
 
 import asyncio
+import contextlib
 
 import structlog
 
@@ -10,8 +11,8 @@
 
 log = structlog.get_logger()
 
-WAIT_MS = 20_000  # a watch waits so long for something newer
-PATIENCE = 2.5  # seconds beyond that for an answer: a silent discovery says nothing
+WAIT_MS = 10_000  # a watch waits so long for something newer
+PATIENCE = 1.5  # seconds beyond that for an answer: a silent discovery says nothing
 
 
 class Line:
@@ -61,6 +62,7 @@
         self.watching = None
         self.fetching = set()
         self.failing = False
+        self.uncertain = False  # whether the version held is one of this discovery's: the next list is whole
 
     def subscribe(self, on):
         if self.watching is not None:
@@ -68,26 +70,47 @@
         self.watching = asyncio.create_task(self._watch()) if on else None
 
     def fetch(self):
-        task = asyncio.create_task(self._call(DiscoverySide.ask_whole, PATIENCE))
+        task = asyncio.create_task(self._fetch())
         self.fetching.add(task)
         task.add_done_callback(self.fetching.discard)
 
+    def move(self, address):
+        """Discovery is elsewhere from now on: asked there at once, and no more at the old address. Another's
+        versions say nothing about its own: a watch that begins with one may wait past a drain."""
+        self.close()
+        self.address = address
+        self.uncertain = True
+        self.subscribe(True)
+
     def close(self):
         self.subscribe(False)
         for task in self.fetching:
             task.cancel()
 
-    def _watch(self):
+    async def _watch(self):
         """Calls follow each other at once: a watch goes on only as long as the next comes within 200 ms."""
-        return self._call(lambda side: side.watch(self.workers.version, WAIT_MS), WAIT_MS / 1000 + PATIENCE,
-                          again=True)
-
-    async def _call(self, question, seconds, again=False):
+        async with self._line() as line:
+            while True:
+                if self.uncertain:
+                    listing = await line.call(DiscoverySide.ask_whole, PATIENCE)
+                    self.uncertain = not listing.whole
+                else:
+                    before = self.workers.version
+                    listing = await line.call(
+                        lambda side: side.watch(self.workers.version, WAIT_MS), WAIT_MS / 1000 + PATIENCE)
+                    # It began anew and counts from the start again: what it said since may have been missed.
+                    self.uncertain = listing.version < before
+                self._tell(listing)
+
+    async def _fetch(self):
+        async with self._line() as line:
+            self._tell(await line.call(DiscoverySide.ask_whole, PATIENCE))
+
+    @contextlib.asynccontextmanager
+    async def _line(self):
         line = Line(self.address)
         try:
-            self._tell(await line.call(question, seconds))
-            while again:
-                self._tell(await line.call(question, seconds))
+            yield line
         except Exception as fault:
             self._fail(fault)
         finally:
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -73,6 +73,11 @@
         return Door({path: rows[i].effect == it.Effect.TICKETED for path, i in self.categories.items()},
                     self.taken)
 
+    def change(self, terms):
+        """New terms for the same categories hold from now on, also for what is held."""
+        self.terms = terms
+        self.post(it.Changed(terms))
+
     # ---- events
 
     def post(self, event):
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -173,6 +173,12 @@
         self.last_connected = 0.0
         self.server = None
 
+    def judge_by(self, door):
+        """Requests whose head comes from now on are judged by these."""
+        self.door = door
+        for client in self.clients:
+            client.side.door = door
+
     async def listen(self, host, port):
         sock = sockets.listening(host, port)
         # Accepted all in one turn, a flood of connections takes all descriptors before any can be looked at.
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -7,6 +7,7 @@
 
 from heronwinch import interface as it
 from heronwinch.net import sockets
+from heronwinch.protocol.discovery import Listing
 from heronwinch.protocol.workers import Note, Over, WorkerSide
 
 log = structlog.get_logger()
@@ -77,11 +78,24 @@
         self.carrying = {}  # (work item, number) -> its hand-off that is out
         self.probing = {}  # worker -> the task of its probe
         self.version = 0
-        # Well before the worker would: what is written to a connection it has closed may have run.
-        self.longest_idle = (terms.connection_idle or SHORTEST_IDLE) // 2
+
+    @property
+    def longest_idle(self):
+        """Well before the worker would: what is written to a connection it has closed may have run."""
+        return (self.terms.connection_idle or SHORTEST_IDLE) // 2
 
     # ---- the list
 
+    def remember(self, listing):
+        """The event of a list written down for this dispatcher, perhaps long ago: it adds workers unheard of
+        as yet and, where it is the newer one, tells who leaves; it takes nothing back."""
+        newer = listing.version > self.version
+        news = tuple(host for host in listing.hosts if host.host not in self.by_host or (
+            newer and host.standing != it.Standing.READY
+            and self.by_host[host.host].entry.standing == it.Standing.READY
+            and self.by_host[host.host].entry.started_at <= host.started_ms * 1_000_000))
+        return self.list(it.ListKind.DELTA, Listing(self.version, False, news)) if news else None
+
     def list(self, kind, listing):
         """The event of a listing; kinds and areas that the settings do not name get numbers of their own."""
         self._forget()
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -17,6 +17,7 @@
     Answered,
     Arrived,
     Cancel,
+    Changed,
     CloseIdle,
     Defer,
     Effect,
@@ -78,17 +79,13 @@
     )
 
     def __init__(self, category):
-        self.effect = category.effect
-        self.group = category.group
-        self.window = category.window
-        self.kind = category.kind
-        self.due_time = category.due_time
-        self.stretch = category.stretch
-        self.expiry = category.expiry
-        self.credit = category.credit
-        self.late_credit = category.late_credit
+        self.take(category)
         self.run = 0.0  # learned: mean running time, 0 while none was seen
 
+    def take(self, category):
+        for name in self.__slots__[:-1]:
+            setattr(self, name, getattr(category, name))
+
 
 class Out:
     """One hand-off."""
@@ -234,6 +231,7 @@
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
             Heard: self._heard, Stopping: self._stopping, Forgotten: self._forgotten,
+            Changed: self._changed,
         }
 
     def handle(self, now, events):
@@ -675,6 +673,11 @@
                 self._guard(wi, WAIT, self._start_by(wi) - self.now)
         self.actions.append(SetTimer(event.time_left, LAST))
 
+    def _changed(self, event):
+        self.terms = event.terms
+        for row, category in zip(self.rows, event.terms.categories, strict=True):
+            row.take(category)
+
     def _noted(self, event):
         wi = self.items.get(event.wi)
         if wi is not None and event.ho < len(wi.hos):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import struct
 import sys
@@ -146,11 +147,20 @@
     async def start(self, **changes):
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "heronwinch", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={"RELAY_CONFIG": str(self.write_config(**changes)), "PATH": os.environ["PATH"]})
+            env={"RELAY_CONFIG": str(self.write_config(**changes)), "PATH": os.environ["PATH"],
+                 "RELAY_DISCOVERY": self.discovery.dial})
         async with asyncio.timeout(20):
             while (await self.get("/-/ready"))[0] != 200:
                 await asyncio.sleep(0.02)
 
+    async def reload(self, discovery):
+        """A new configuration, in force once discovery, now elsewhere, is watched there."""
+        calls = len(discovery.calls)
+        self.write_config(discovery=discovery.dial)
+        self.process.send_signal(signal.SIGHUP)
+        while len(discovery.calls) < calls + 2:
+            await asyncio.sleep(0.01)
+
     def descriptors(self):
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,6 +5,7 @@
 import pytest
 from conftest import CATEGORY, MS, TERMS, deaf
 
+from examples import toy
 from heronwinch import interface as it
 from heronwinch.interface import Effect, Outcome
 from heronwinch.net import discovery
@@ -272,6 +273,20 @@
         asyncio.run(main(address))
 
 
+def test_a_discovery_that_counts_from_the_start_again_is_asked_for_the_whole_list(workers):
+    async def main():
+        server = await toy.Discovery([]).listen()
+        workers.version = 41
+        line = discovery.Discovery(workers.engine, workers, server.address, workers.watch)
+        line.subscribe(True)
+        while len(server.calls) < 3:
+            await asyncio.sleep(0.01)
+        assert [call.get("index") for call in server.calls[:3]] == [41, None, 1]
+        line.close()
+        server.die()
+    asyncio.run(main())
+
+
 # ---- the list of workers
 
 
@@ -292,6 +307,16 @@
     assert first.entries[0].started_at == 3 * MS
 
 
+def test_a_list_written_down_long_ago_takes_nothing_back(workers):
+    def standings(event):
+        return [(entry.worker, entry.standing) for entry in event.entries]
+    workers.list(it.ListKind.FULL, Listing(5, True, (host("s"), host("t", standing=it.Standing.DRAINING))))
+    old = host("s", standing=it.Standing.DRAINING), host("t"), host("u")
+    assert standings(workers.remember(Listing(4, True, old))) == [(3, it.Standing.READY)]  # unheard of
+    assert standings(workers.remember(Listing(6, True, old))) == [(1, it.Standing.DRAINING)]
+    assert workers.remember(Listing(6, True, old)) is None and workers.version == 5
+
+
 def test_workers_gone_for_long_are_forgotten(workers):
     workers.list(it.ListKind.FULL, Listing(1, True, (host("s"), host("t"))))
     workers.list(it.ListKind.FULL, Listing(2, True, (host("t"),)))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -561,3 +561,13 @@
     assert d.final(2) == []
     d.do(it.Stopping(3000 * MS))
     assert d.final(2) == ["Defer"]
+
+
+def test_new_terms_hold_for_what_is_held_too(drive):
+    driver = drive()
+    driver.arrive(1, after=2000)
+    row = CATEGORY._replace(expiry=9000 * MS)
+    driver.do(it.Changed(TERMS._replace(most_hand_offs=1, categories=(row,))))
+    driver.answer(1, 0, driver.sent(1)[0], it.Outcome.ERROR, after=10)
+    assert driver.final(1) == ["Defer"] and len(driver.sent(1)) == 1
+    assert driver.dispatcher.rows[0].expiry == 9000 * MS
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,6 +10,8 @@
 import pytest
 from conftest import ROOT, deaf, job
 
+from examples import toy
+
 
 def test_served_and_the_job_goes_on_unchanged(stage):
     async def scene(s):
@@ -177,6 +179,55 @@
     stage(scene)
 
 
+def test_a_reload_moves_discovery_at_once_and_misses_no_drain(stage):
+    async def scene(s):
+        for worker in s.workers:
+            worker.running = 0.5
+        taken = asyncio.create_task(s.ask())
+        while not any(w.held for w in s.workers):
+            await asyncio.sleep(0.01)
+        other = await toy.Discovery(s.workers).listen()
+        other.version = 0  # its versions are its own: a watch from the old one's would wait past the drain
+        s.workers[0].health = "terminating"
+        await s.reload(other)
+        assert other.calls[0] == {} and other.calls[1]["index"] == 0
+        while s.discovery.writers:  # the old one is left
+            await asyncio.sleep(0.01)
+        assert (await taken)[0] == 200
+        before = len(s.workers[0].jobs)
+        assert [(await s.ask())[0] for _ in range(6)] == [200] * 6
+        assert len(s.workers[0].jobs) == before
+        other.die()
+    stage(scene)
+
+
+def test_a_reload_changes_the_settings_and_a_bad_file_nothing(stage):
+    async def scene(s):
+        for worker in s.workers:
+            worker.mode = "failed"
+        other = await toy.Discovery(s.workers).listen()
+        s.settings["limits.most_hand_offs"] = 1
+        for text in ("{", '{"settings": {}}', "[" * 100_000):
+            s.write_config().write_text(text)
+            s.process.send_signal(signal.SIGHUP)
+            assert (await s.ask())[0] == 503
+        assert sum(len(w.jobs) for w in s.workers) > 3
+        for _ in range(3):  # several in a row
+            s.write_config(discovery=other.dial)
+            s.process.send_signal(signal.SIGHUP)
+        await s.reload(other)
+        for worker in s.workers:
+            worker.jobs.clear()
+        assert (await s.ask())[0] == 503
+        assert sum(len(w.jobs) for w in s.workers) == 1
+        s.process.terminate()
+        s.process.send_signal(signal.SIGHUP)
+        _, logged = await s.finish()
+        assert "reload_refused" in logged and "event=reloaded" in logged
+        other.die()
+    stage(scene, workers=4)
+
+
 @pytest.mark.parametrize("text, says", [
     (None, "RELAY_CONFIG is not set"),
     ("{", "cannot read"),
