Serve on kept connections for half of a planned stop, and start work nearer its end

At fault: __main__.py _stop (stop_keeping at once), policy.py _start_by (two mean running times, though most take far less than one).

--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -26,7 +26,7 @@
 
 LONGEST_STOP = 3.0  # seconds from SIGTERM in which all that was taken is answered
 NEW_CONNECTIONS = 0.5  # seconds from SIGTERM in which the front may send further ones
-QUIET = 0.25  # seconds without a further one after which none is expected any more
+KEPT = 0.5  # part of the stop in which clients may go on with the connections they have
 LAST_WORDS = 0.3  # seconds that clients have to read their last answers
 SWEEP = 0.5  # seconds between two looks at idle connections
 SUM_UP = 10.0  # seconds between two lines on what went wrong
@@ -164,14 +164,16 @@
         begun = self.loop.time()
         seconds = min(LONGEST_STOP, max(row.expiry for row in self.plan.terms.categories) / it.SECOND)
         log.info("stopping", held=self.engine.owes(), clients=len(self.listener.clients))
-        self.listener.stop_keeping()
+        self.listener.stopping = True
         self.engine.stop(seconds)
-        while self.loop.time() < begun + seconds:
-            now = self.loop.time()
-            if now > max(begun + NEW_CONNECTIONS, self.listener.last_connected + QUIET):
-                self.listener.close()
-                if not self.engine.owes():
-                    break
+        # Another dispatcher may be down just then, and clients have nowhere to go but here; later what cannot
+        # end in time goes elsewhere at once. Where there is no other, all the time there is counts.
+        keep = seconds * (KEPT if self.plan.terms.dispatchers > 1 else 1 - LAST_WORDS / seconds)
+        while (now := self.loop.time()) < begun + seconds:
+            if now > begun + keep:
+                self.listener.stop_keeping()
+            if now > begun + NEW_CONNECTIONS and not self.engine.owes() and not self.listener.kept():
+                break
             await asyncio.sleep(0.01)
         self.listener.close()
         last = self.loop.time() + LAST_WORDS
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -126,7 +126,7 @@
         self._say(refused.status, refused.reason.encode("utf-8", "replace") + b"\n", close=True)
 
     def _say(self, status, body=b"", headers=(), close=False):
-        data, self.ended = self.side.answer(status, body, headers, close or self.listener.stopping)
+        data, self.ended = self.side.answer(status, body, headers, close or not self.listener.keeping)
         self.writer.write(data)
         if self.writer.transport.get_write_buffer_size() > MOST_UNREAD:
             self.writer.transport.abort()
@@ -147,7 +147,8 @@
 
     def defer(self, come_back):
         self.item = None
-        self._say(503, headers=[(b"Retry-After", b"%.3f" % (come_back / SECOND))] if come_back else ())
+        self._say(503, headers=[(b"Retry-After", b"%.3f" % (come_back / SECOND))] if come_back else (),
+                  close=self.listener.stopping)
 
     def turn_away(self):
         self._say(503, close=True)
@@ -170,7 +171,7 @@
         self.idle = OrderedDict()  # those that have more often, between requests; in all the longest so first
         self.leaving = set()  # clients that are being turned away
         self.stopping = False
-        self.last_connected = 0.0
+        self.keeping = True
         self.server = None
 
     def judge_by(self, door):
@@ -187,7 +188,6 @@
         sock.listen(BACKLOG)
 
     def _connected(self, reader, writer):
-        self.last_connected = self.engine.loop.time()
         client = Client(self, reader, writer)
         if len(self.clients) < self.budget.clients or self._make_room():
             self.clients[client] = asyncio.create_task(self._serve(client))
@@ -260,9 +260,13 @@
         client.wake(0)
         return True
 
+    def kept(self):
+        """Whether clients may still send more on connections that they have."""
+        return self.keeping and bool(self.once or self.idle or self.strangers)
+
     def stop_keeping(self):
         """From now on connections end with the answer that is owed on them, idle ones at once."""
-        self.stopping = True
+        self.keeping = False
         for client in [*self.once, *self.idle]:
             client.wake(0)
 
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -419,7 +419,10 @@
 
     def _start_by(self, wi):
         """The last moment at which a hand-off is likely to earn credit."""
-        last = wi.expiry - 2 * int(wi.row.run or self.run) if wi.row.late_credit else wi.due
+        # Running times are heavy-tailed: near the end of a planned stop most are under the mean, and clients
+        # that are turned away meet others that may be stopping too.
+        times = 2 if wi.expiry < self.last else 0.5
+        last = wi.expiry - int(times * (wi.row.run or self.run)) if wi.row.late_credit else wi.due
         if wi.anchor is not None and wi.row.effect == Effect.TICKETED:
             # Waiting must not outlast the window in which its repeat is dropped.
             last = min(last, wi.window_end())
@@ -625,9 +628,8 @@
             return
         ho.answered = True
         wi.out -= 1
-        if event.outcome not in NEVER_RAN:
-            if event.outcome != Outcome.OK and (wi.anchor is None or ho.sent < wi.anchor.sent):
-                wi.anchor = ho
+        if event.outcome not in (Outcome.OK, *NEVER_RAN) and (wi.anchor is None or ho.sent < wi.anchor.sent):
+            wi.anchor = ho
         self._learn(ho, event)
         if wi.ended or event.ended:
             self._end(wi, None)
