Leave a worker that does not say it took the work; its silence no longer speaks against reports

Eight times a report was held to be late only as its worker no longer counted work whose answer was lost, out for 1.4 to 5.7 mean running times. Ruled out: half lines left in the buffer (always empty), idle connections closed by workers (stale loses nothing). At fault: net/workers.py _receive (one limit, the expiry), policy.py _hear (work out for however long spoke against reports).

--- a/examples/toy.py
+++ b/examples/toy.py
@@ -104,7 +104,8 @@
 
 
 class Worker(Server):
-    """`mode` is what it does with jobs: done, failed, returned, lost, error, declined, broken or silent."""
+    """`mode` is what it does with jobs: done, failed, returned, lost, error, declined, broken, silent (after
+    taking one) or mute."""
 
     def __init__(self, host, running=RUNNING, mode="done"):
         super().__init__()
@@ -135,6 +136,8 @@
             declined = [(b"Srv-Declined", b"1")] if self.mode == "declined" else []
             exchange.whole(500 if self.mode == "error" else 503, b"", *declined)
             return
+        if self.mode == "mute":
+            await asyncio.Event().wait()
         self.held += 1
         try:
             await self._run(exchange, headers[b"req-id"].decode(), body.decode())
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -242,6 +242,7 @@
     wi: int
     worker: int
     until: int  # the clock time to give up on it; 0: at the work item's expiry
+    patience: int = 0  # how long the worker may take to say that it has it, where that is told; 0: no limit
 
 
 class Defer(NamedTuple):
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -216,7 +216,7 @@
             self.post(moot)
             return
         until = min(action.until, item.expiry) if action.until else item.expiry
-        self.workers.start(item, number, action.worker, until)
+        self.workers.start(item, number, action.worker, until, action.patience)
 
     def _cancel(self, action):
         item = self.items.get(action.wi)
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -15,7 +15,6 @@
 LONGEST_IDLE = 75.0  # seconds that the connection of a client that has handed in work may stand idle
 LONGEST_REQUEST = 1.5  # seconds that a request may take to come in: a first one from connecting on
 SHORTEST_IDLE = 1.0  # seconds before such a connection makes room for a new one
-ONE_MORE_LOOK = 0.001  # seconds: what came as a wait ended is not lost with its connection
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread
 MOST_UNHEARD = 64 * 1024  # bytes that are read and thrown away after the last answer
 BACKLOG = 512
@@ -59,7 +58,7 @@
                 self._refuse(Refused(408, "the request did not come to its end"))
                 return b""
         try:
-            return await self._read_within(ONE_MORE_LOOK)
+            return await self._read_within(sockets.ONE_MORE_LOOK)
         except TimeoutError:
             return b""
 
--- a/heronwinch/net/sockets.py
+++ b/heronwinch/net/sockets.py
@@ -11,6 +11,7 @@
 READ_AHEAD = 8 * 1024  # bytes that a stream reads before they are asked for, twice that at most
 PIECE = 32 * 1024  # bytes that the system holds for a client's connection; it takes twice that
 LINGER = 0.5  # seconds that a connection may take to send what is left, and its peer to read it
+ONE_MORE_LOOK = 0.001  # seconds: what came as a wait ended, or while the process stood still, is not lost
 BARE = 28  # MB that the program takes without connections
 FULL = 160 * 1024  # bytes of a connection at its fullest: body, head, read ahead, one piece
 FEWEST = 64  # connections that there may be however little memory
@@ -80,10 +81,12 @@
 
 async def read(reader, seconds):
     """The next bytes, b"" at the end of the connection, however it came; TimeoutError after so long."""
-    try:
-        async with asyncio.timeout(seconds):
-            return await reader.read(READ_AHEAD)
-    except TimeoutError:
-        raise
-    except OSError:
-        return b""
+    for limit in (seconds, ONE_MORE_LOOK):
+        try:
+            async with asyncio.timeout(limit):
+                return await reader.read(READ_AHEAD)
+        except TimeoutError:
+            continue
+        except OSError:
+            return b""
+    raise TimeoutError
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -44,11 +44,11 @@
 class HandOff:
     """One hand-off that is out."""
 
-    __slots__ = ("workers", "item", "number", "worker", "until", "begun", "task", "outcome")
+    __slots__ = ("workers", "item", "number", "worker", "until", "patience", "begun", "task", "outcome")
 
-    def __init__(self, workers, item, number, worker, until):
+    def __init__(self, workers, item, number, worker, until, patience):
         self.workers, self.item, self.number, self.worker = workers, item, number, worker
-        self.until = until
+        self.until, self.patience = until, patience
         self.begun = workers.clock.now()
         self.task = None
         self.outcome = None
@@ -147,8 +147,8 @@
 
     # ---- actions
 
-    def start(self, item, number, worker, until):
-        ho = HandOff(self, item, number, self.by_number[worker], until)
+    def start(self, item, number, worker, until, patience):
+        ho = HandOff(self, item, number, self.by_number[worker], until, patience)
         self.watch.must(not self._left_long_ago(ho.worker), "no_hand_off_past_the_grace")
         self.carrying[item.number, number] = ho
         ho.task = asyncio.create_task(self._carry(ho))
@@ -252,6 +252,10 @@
                 kept = ho.outcome != it.Outcome.RESET and await self._finish(ho.worker, connection)
         except TimeoutError:
             ho.settle(Over(it.Outcome.TIMEOUT))
+            if not connection.side.taken:
+                # The machine or the path to it says nothing: others that stand idle are no better.
+                self.watch.count("no_word")
+                self._close_all(ho.worker)
         finally:
             if not kept:
                 self._close(connection)
@@ -275,8 +279,9 @@
 
     async def _receive(self, ho, connection):
         side = connection.side
+        taken_by = min(ho.until, self.clock.now() + ho.patience) if ho.patience else ho.until
         while not side.over:
-            seconds = self._seconds_to(ho.until)
+            seconds = self._seconds_to(ho.until if side.taken else taken_by)
             for news in side.feed(await sockets.read(connection.reader, seconds)):
                 if type(news) is Note:
                     self.engine.note(ho.item, ho.number, ho.worker.number, *news)
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -6,7 +6,7 @@
 what is kept of the design and what departs from it is docs/design.md.
 """
 
-from collections import deque
+from collections import deque, namedtuple
 from math import ceil, exp, log
 from random import Random
 from struct import Struct
@@ -62,13 +62,8 @@
     return mean + ((x - mean) / weight if mean else x)
 
 
-class Ask:
-    """What a work item yields to have a worker's busy alert; it is resumed with an open worker or None."""
-
-    __slots__ = ("worker",)
-
-    def __init__(self, worker):
-        self.worker = worker
+# What a work item yields to have a worker's busy alert; it is resumed with an open worker or None.
+Ask = namedtuple("Ask", "worker")
 
 
 class Row:
@@ -587,7 +582,9 @@
             self.gap = moved(self.gap, gap, 32)
             self._learn_T()
         self.last_sent = now
-        self.actions.append(HandOff(wi.id, worker.id, 0))
+        # A worker that takes a job says so at once: without a word it goes elsewhere while it can be in time.
+        patience = 0 if wi.row.effect == Effect.EXCLUSIVE else self.terms.connect_timeout // 2
+        self.actions.append(HandOff(wi.id, worker.id, 0, patience))
         if self.terms.progress_every:
             self._watch(ho)
 
@@ -1005,8 +1002,9 @@
         if report.held is not None:
             # Late reports, told by own record: one that holds fewer than have long been out there from here
             # alone is late. One that agrees may do so by luck, so it takes a run of them to believe again.
-            long_out = sum((self.now - ho.sent) * 8 > (self.run or self.T) for ho in worker.out)
-            if round(report.held) < long_out:
+            # What is out for twice as long as most without a note may have lost its answer instead.
+            run = self.run or self.T
+            if round(report.held) < sum(run < (self.now - ho.noted) * 8 < 16 * run for ho in worker.out):
                 self._contradicted()
         # Reports are a little noisy: taken as they come, a worker with its one slot free would read 0.97 and
         # stay closed.
--- a/heronwinch/protocol/workers.py
+++ b/heronwinch/protocol/workers.py
@@ -64,6 +64,11 @@
             told += self._end(Over(Outcome.RESET))
         return told
 
+    @property
+    def taken(self):
+        """Whether the worker has said anything."""
+        return self.status != 0
+
     @property
     def ended(self):
         """Whether nothing more of the answer is to come."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -196,7 +196,7 @@
         engine.arrive(JOB, Played(), engine.clock.now())
         await turns()
         assert type(modules[0].batches[0][0]) is it.Stopping
-        ((_, item, number, worker, until),) = engine.workers.named("start")
+        ((_, item, number, worker, until, _),) = engine.workers.named("start")
         assert until == engine.stop_at < engine.clock.now() + 200 * MS
     play(scene, {it.Arrived: hand_off})
 
@@ -246,7 +246,7 @@
             return Connection(("127.0.0.1", 7070), stream, stream)
         workers._connect = connect
         item = Item(1, JOB, None, Effect.RERUNNABLE, workers.clock.now() + 1000 * MS)
-        workers.start(item, 0, 1, item.expiry)
+        workers.start(item, 0, 1, item.expiry, 0)
         while not workers.engine.named("settle"):
             await asyncio.sleep(0)
         assert workers.engine.named("settle")[0][4].outcome == Outcome.RESET and stream.aborted
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -171,9 +171,10 @@
     worker = d.dispatcher.workers[1]
     worker.slots = 2
     d.arrive(1, after=OPEN_AFTER)
-    d.do(after=900)
     aside = []
     for _ in range(3):
+        d.do(it.Noted(1, 0, 1, it.Topic.PROGRESS, 0.1))
+        d.do(after=900)
         d.dispatcher._hear(worker, report(2.0, held=0))  # it must hold at least the one sent long ago
         assert not d.dispatcher._is_fresh(worker)
         aside.append(d.dispatcher.doubt_until - d.now)
@@ -183,6 +184,26 @@
     assert aside == [d.dispatcher.T, 2 * d.dispatcher.T, 4 * d.dispatcher.T]
 
 
+@pytest.mark.parametrize("after, late", [(100, False), (200, True), (1900, True), (2100, False)])
+def test_work_out_for_long_without_a_note_does_not_speak_against_reports(drive, after, late):
+    # Guards against a connection that fell silent: its worker is done, and reports that say so are true.
+    d = drive(workers=(entry(1),), category={"due_time": 100_000 * MS, "expiry": 200_000 * MS})
+    d.arrive(1, after=OPEN_AFTER)
+    d.do(after=after)  # nothing has run yet, so T, a second, stands for the mean running time
+    d.dispatcher._hear(d.dispatcher.workers[1], report(2.0, held=0))
+    assert d.dispatcher.doubt == late
+
+
+@pytest.mark.parametrize("effect, patience", [
+    (Effect.RERUNNABLE, 125 * MS), (Effect.TICKETED, 125 * MS), (Effect.EXCLUSIVE, 0)])
+def test_a_worker_that_does_not_say_it_has_the_work_is_not_waited_for(drive, effect, patience):
+    d = drive(effect)
+    (action,) = d.arrive(1, after=OPEN_AFTER)
+    assert action.patience == patience
+    d.answer(1, 0, action.worker, Outcome.TIMEOUT, after=125)
+    assert len(d.sent(1)) == (1 if effect == Effect.EXCLUSIVE else 2)  # it may have run
+
+
 @pytest.mark.parametrize("free, waiting, late", [(1.0, 0.0, True), (0.0, 0.0, False), (1.0, 1.0, False)])
 def test_full_with_a_report_that_shows_room_means_late_reports(drive, free, waiting, late):
     d = drive()
@@ -196,7 +217,7 @@
     assert d.all[-1] == it.Probe(1)  # new: how many slots has it?
     d.do(it.Probed(1, MS, Outcome.OK, report(2.0)), after=2)
     assert d.arrive(1, after=OPEN_AFTER) == [it.Probe(1)]
-    assert d.do(it.Probed(1, MS, Outcome.OK, report(2.0)), after=2) == [it.HandOff(1, 1, 0)]
+    assert d.do(it.Probed(1, MS, Outcome.OK, report(2.0)), after=2) == [it.HandOff(1, 1, 0, 125 * MS)]
 
 
 def test_silence_to_the_question_leaves_time_for_another_worker(drive):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -75,6 +75,18 @@
     stage(scene, workers=4)
 
 
+@pytest.mark.parametrize("path, status, elsewhere", [("/render/1", 200, 1), ("/charge/1", 500, 0)])
+def test_a_worker_that_says_nothing_at_all_is_left_where_that_is_harmless(stage, path, status, elsewhere):
+    async def scene(s):
+        mute, other = s.workers
+        mute.mode = "mute"
+        while not mute.jobs:  # workers are chosen at random
+            other.jobs.clear()
+            answer = await s.ask(path, deadline="2.5")
+        assert (answer[0], len(other.jobs)) == (status, elsewhere)
+    stage(scene)
+
+
 def test_a_worker_that_died_is_passed_over(stage):
     async def scene(s):
         s.workers[0].die()
