Ask again where a kept connection broke without a word, and close no worker for it

Ruled out: reports held to be late (never), a lack of sockets (78 of 384). At fault: net/workers.py _ask (a reset on a kept connection told as the worker's), _receive (the same for hand-offs). Also: what was handed to a worker before it last started is a reset, its idle connections are closed; lines nested too deep, lone surrogates, numbers out of range from workers and discovery are resets or bad lists, no exceptions (protocol/).

--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -33,6 +33,7 @@
     RESET = 6
     CANCELLED = 7
     MOOT = 8  # never sent: the work item had ended, its time had run out or it had no hand-off left
+    STALE = 9  # reset without a word on a connection kept from before: it may have run, the worker be well
 
 
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -29,6 +29,11 @@
         self.side = WorkerSide()
         self.idle_since = 0
 
+    def is_stale(self):
+        """Whether it was kept from before and had no word since: its end says nothing about the worker, which
+        may close what stands idle at any time."""
+        return self.idle_since > 0 and not self.side.taken
+
 
 class Worker:
     """A worker under its number; its address may change."""
@@ -107,13 +112,15 @@
                 self.count += 1
                 worker = Worker(self.count, host.host)
                 self.by_host[host.host] = self.by_number[worker.number] = worker
-            if worker.address != host.address:
+            started_at = host.started_ms * 1_000_000
+            if worker.address != host.address or worker.entry.started_at != started_at:
                 self._close_all(worker)
                 worker.address = host.address
+                self._started(worker, started_at)
             self._enter(worker, it.Entry(
                 worker.number, self.areas.setdefault(host.area, len(self.areas)),
                 self.kinds.setdefault(host.kind, len(self.kinds)), host.pod, host.standing, host.weight,
-                host.started_ms * 1_000_000))
+                started_at))
             named.add(worker.number)
         if listing.whole:
             for worker in self.by_number.values():
@@ -122,6 +129,14 @@
         return it.Listed(kind, listing.version, tuple(
             self.by_host[host.host].entry for host in listing.hosts))
 
+    def _started(self, worker, when):
+        """What was handed to a worker before it last started has ended with it, also where nothing said so: a
+        machine that was cut off when it went down resets no connection."""
+        for ho in self.carrying.values():
+            if ho.worker is worker and ho.begun + (self.terms.connect_timeout or it.SECOND) < when:
+                ho.settle(Over(it.Outcome.RESET))
+                ho.task.cancel()
+
     def _enter(self, worker, entry):
         was_ready = worker.entry is None or worker.entry.standing == it.Standing.READY
         if was_ready and entry.standing != it.Standing.READY:
@@ -249,7 +264,8 @@
             elif await self._send(ho, connection):
                 await self._receive(ho, connection)
                 # After a reset it may go again elsewhere at once: this one must not stay open meanwhile.
-                kept = ho.outcome != it.Outcome.RESET and await self._finish(ho.worker, connection)
+                kept = (ho.outcome not in (it.Outcome.RESET, it.Outcome.STALE)
+                        and await self._finish(ho.worker, connection))
         except TimeoutError:
             ho.settle(Over(it.Outcome.TIMEOUT))
             if not connection.side.taken:
@@ -285,6 +301,8 @@
             for news in side.feed(await sockets.read(connection.reader, seconds)):
                 if type(news) is Note:
                     self.engine.note(ho.item, ho.number, ho.worker.number, *news)
+                elif news.outcome == it.Outcome.RESET and connection.is_stale():
+                    ho.settle(Over(it.Outcome.STALE))
                 else:
                     ho.settle(news)
 
@@ -331,20 +349,28 @@
             self.engine.post(it.Probed(worker.number, self.clock.now() - begun, over.outcome, over.report))
 
     async def _ask(self, worker, until):
-        try:
-            connection = await self._connect(worker, until)
-        except Unreachable:
-            return Over(it.Outcome.CONNECT_FAILED)
+        while True:
+            try:
+                connection = await self._connect(worker, until)
+            except Unreachable:
+                return Over(it.Outcome.CONNECT_FAILED)
+            over = await self._ask_on(worker, connection, until)
+            # A question does no harm when it comes twice: asked again where it told nothing of the worker. To
+            # count it as a failure left out healthy workers, up to six of ten.
+            if over.outcome != it.Outcome.RESET or not connection.is_stale():
+                return over
+
+    async def _ask_on(self, worker, connection, until):
         kept = False
         try:
             connection.writer.write(connection.side.probe(self.terms.reports))
             while True:
-                seconds = self._seconds_to(until)
-                data = await sockets.read(connection.reader, seconds)
+                data = await sockets.read(connection.reader, self._seconds_to(until))
                 for over in connection.side.feed(data):
                     kept = await self._finish(worker, connection)
                     return over
         except TimeoutError:
+            self._close_all(worker)  # as with a hand-off that has no word
             return Over(it.Outcome.TIMEOUT)
         finally:
             if not kept:
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -211,8 +211,7 @@
         self.touched = []  # workers that something just came from or about: one may have opened
         self.look = False  # look at all of them: time has passed, or the list has changed
         self.doubt = False  # reports are held to be late
-        self.doubt_until = 0
-        self.doubts = 0  # in a row
+        self.doubt_until, self.doubts = 0, 0  # in a row
         self.now = 0
         self.actions = []
         self.T = SECOND
@@ -220,8 +219,7 @@
         self.gap = 0.0  # mean time between own hand-offs
         self.last_sent = 0
         self.last = NEVER  # the end of a planned stop
-        self.asking_again = False
-        self.refusals = 0  # failed calls to discovery in a row
+        self.asking_again, self.refusals = False, 0  # failed calls to discovery in a row
         self.reactions = {
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
@@ -975,7 +973,7 @@
                 self.run = moved(self.run, x, 16)
                 self.tale_life = 8 * int(self.run)
                 self._learn_pace(worker.kind, log(x / wi.row.run))
-        elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT):
+        elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT, Outcome.STALE):
             self._failed(worker)
             if event.outcome == Outcome.FULL and self._shows_room(event.report, wi):
                 self._contradicted()
--- a/heronwinch/protocol/discovery.py
+++ b/heronwinch/protocol/discovery.py
@@ -83,23 +83,27 @@
 def as_listing(tree):
     try:
         return Listing(int(tree["seq"]), bool(tree["whole"]), tuple(map(_host, tree["hosts"])))
-    except (KeyError, TypeError, ValueError) as fault:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as fault:
         raise BadList(f"no list: {type(fault).__name__}: {fault}") from None
 
 
 def as_address(text):
     """The host and port of host:port."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not (host and text.isascii() and text.isprintable() and port.isdecimal() and len(port) < 6
+            and 0 < int(port) < 65536):
         raise ValueError(f"no address: {text!r}")
     return host.strip("[]"), int(port)
 
 
 def _host(entry):
+    weight = float(entry.get("share", 1.0))
+    if not 0 <= weight < 1e9:
+        raise ValueError("share is out of range")
     return Host(
         host=str(entry["host"]), address=as_address(entry["dial"]), area=str(entry.get("site", "")),
         kind=str(entry.get("class", "")), pod=int(entry.get("block", 0)),
         # A state of which nothing is known promises no service: nothing new goes there.
-        standing=STANDINGS.get(entry["health"], Standing.DRAINING), weight=float(entry.get("share", 1.0)),
+        standing=STANDINGS.get(entry["health"], Standing.DRAINING), weight=weight,
         started_ms=int(entry.get("born_ms", 0)),
     )
--- a/heronwinch/protocol/reports.py
+++ b/heronwinch/protocol/reports.py
@@ -4,6 +4,7 @@
 
 from heronwinch.interface import Report
 
+MOST = 1e9  # one figure garbled must not make a worker look endless
 # A figure has one name in the operators' settings and another on sockets.
 NAMES = {
     "x0": "free_slots", "x1": "free_memory", "pending": "waiting", "queue": "waiting",
@@ -17,7 +18,7 @@
     if text.startswith("{"):
         try:
             return from_object(json.loads(text))
-        except ValueError:
+        except (ValueError, RecursionError):
             return None
     pairs = (part.partition("=") for part in text.split(","))
     return from_object({name.strip(): value for name, _, value in pairs})
@@ -32,8 +33,8 @@
             continue
         try:
             value = float(value)
-        except (TypeError, ValueError):
+        except (TypeError, ValueError, OverflowError):
             continue
-        if 0 <= value < float("inf"):
+        if 0 <= value < MOST:  # also where it is no number at all
             known[NAMES[name]] = round(value * 1e6) if NAMES[name] == "service_time" else value
     return Report(**known) if known else None
--- a/heronwinch/protocol/workers.py
+++ b/heronwinch/protocol/workers.py
@@ -111,10 +111,12 @@
         if not line.strip():
             return []
         try:
-            news = json.loads(line)
-            state = news["state"]
-        except (ValueError, TypeError, KeyError):
-            return self._end(Over(Outcome.RESET))
+            return self._news(json.loads(line))
+        except (ValueError, TypeError, KeyError, AttributeError, RecursionError, OverflowError):
+            return self._end(Over(Outcome.RESET))  # no proper answer, whatever is wrong with it
+
+    def _news(self, news):
+        state = news["state"]
         if str(news.get("id", "")).encode() != self.id:
             return self._end(Over(Outcome.RESET))  # another's answer: this one's is not known
         if state in OUTCOMES:
@@ -124,8 +126,7 @@
         if state == "started":
             return [Note(Topic.STARTED, 0.0)]
         if state == "running":
-            share = news.get("share", 0.0)
-            return [Note(Topic.PROGRESS, float(share) if isinstance(share, int | float) else 0.0)]
+            return [Note(Topic.PROGRESS, float(news.get("share", 0.0)))]
         return []
 
     def _end(self, over):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -253,6 +253,36 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("word, outcome", [
+    ([], Outcome.STALE), ([b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"], Outcome.RESET)])
+def test_a_kept_connection_that_ends_without_a_word_is_not_held_against_the_worker(workers, word, outcome):
+    # Guards against healthy workers being left out as they close what stood idle.
+    async def main():
+        workers.list(it.ListKind.FULL, Listing(1, True, (host("s"),)))
+        answers = []
+
+        async def connect(worker, until):
+            stream = Garbled()
+            stream.parts = answers.pop()
+            connection = Connection(("127.0.0.1", 7070), stream, stream)
+            connection.idle_since = workers.clock.now() if answers else 0
+            return connection
+        workers._connect = connect
+        answers[:] = [[], [b"", *word]]
+        item = Item(1, JOB, None, Effect.RERUNNABLE, workers.clock.now() + 1000 * MS)
+        workers.start(item, 0, 1, item.expiry, 0)
+        while not workers.engine.named("settle"):
+            await asyncio.sleep(0)
+        assert workers.engine.named("settle")[0][4].outcome == outcome
+        # A question does no harm twice: it is asked again on a new connection.
+        answers[:] = [[b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nx0=1"], [b""]]
+        workers.probe(1)
+        while not workers.engine.named("post"):
+            await asyncio.sleep(0)
+        assert workers.engine.named("post")[0][1].outcome == Outcome.OK
+    asyncio.run(main())
+
+
 def test_a_connection_to_an_address_of_the_past_is_not_kept(workers):
     workers.list(it.ListKind.FULL, Listing(1, True, (host("s"),)))
     worker, stream = workers.by_host["s"], Garbled()
@@ -262,6 +292,24 @@
     assert not workers._keep(worker, Connection(("127.0.0.1", 7070), stream, stream))
 
 
+def test_what_was_out_at_a_worker_before_it_last_started_has_ended(workers):
+    async def main():
+        workers.list(it.ListKind.FULL, Listing(1, True, (host("s"), host("t"))))
+        workers._carry = lambda ho: asyncio.Event().wait()  # nothing says that it ended
+        for number, worker in enumerate((1, 1, 2)):
+            item = Item(number, JOB, None, Effect.RERUNNABLE, workers.clock.now() + 9000 * MS)
+            workers.start(item, 0, worker, item.expiry, 0)
+        workers.carrying[1, 0].begun += 2000 * MS  # handed to it as it is now
+        started = workers.clock.now() // MS + 1000
+        workers.list(it.ListKind.DELTA, Listing(2, False, (host("s")._replace(started_ms=started),)))
+        settled = [(call[1].number, call[4].outcome) for call in workers.engine.named("settle")]
+        assert settled == [(0, Outcome.RESET)]
+        await turns()
+        assert [number for number, _ in workers.carrying] == [1, 2]
+        workers.close()
+    asyncio.run(main())
+
+
 def test_a_discovery_that_never_accepts_is_given_up_soon(monkeypatch):
     monkeypatch.setattr(discovery, "PATIENCE", 0.05)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -166,6 +166,16 @@
     assert worker.fails == 0 and worker.shut_until == 0
 
 
+@pytest.mark.parametrize("outcome, fails", [
+    (Outcome.ERROR, 1), (Outcome.RESET, 1), (Outcome.FULL, 1), (Outcome.STALE, 0), (Outcome.CANCELLED, 0)])
+def test_a_kept_connection_that_broke_is_no_failure_of_its_worker(drive, outcome, fails):
+    d = drive(Effect.EXCLUSIVE, workers=(entry(1),))
+    d.arrive(1, after=OPEN_AFTER)
+    d.answer(1, 0, 1, outcome, after=10)
+    assert d.dispatcher.workers[1].fails == fails
+    assert outcome == Outcome.FULL or d.final(1) == ["WriteOff"]  # it may have run all the same
+
+
 def test_late_reports_are_set_aside_twice_as_long_for_each_time_in_a_row(drive):
     d = drive(workers=(entry(1),), category={"due_time": 100_000 * MS, "expiry": 200_000 * MS})
     worker = d.dispatcher.workers[1]
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -214,6 +214,13 @@
     (HEAD + b"0\r\n\r\n", Over(Outcome.RESET)),  # ended before the last line
     (HEAD + chunk(b"{]\n"), Over(Outcome.RESET)),
     (HEAD + chunk(b"[1]\n"), Over(Outcome.RESET)),
+    (HEAD + chunk(b"[" * 60_000 + b"\n"), Over(Outcome.RESET)),
+    (HEAD + chunk(line(state=["done"])), Over(Outcome.RESET)),
+    (HEAD + chunk(line(state="done", id="\ud800")), Over(Outcome.RESET)),
+    (HEAD + chunk(line(state="done", result="\ud800")), Over(Outcome.RESET)),
+    (HEAD + chunk(line(state="running", share=10**400)), Over(Outcome.RESET)),
+    (HEAD + chunk(line(state="done", result="r", load={"x0": 10**400, "queue": "1e400", "inflight": [2]})),
+     Over(Outcome.OK, b"r")),
     (HEAD + chunk(line(state="done", id="of another")), Over(Outcome.RESET)),
     (HEAD + chunk(b"x" * 200_000), Over(Outcome.RESET)),
     (b"what is this\r\n\r\n", Over(Outcome.RESET)),
@@ -254,6 +261,8 @@
     (" x0=1.5 , x1=0.25,latency_ms=2.5", Report(1.5, 0.25, None, None, 2_500_000)),
     ('{"x0": 1, "pending": 0, "busy_reqs": 1}', Report(1.0, None, 0.0, 1.0)),
     ("x0=nan,queue=-1,inflight=inf", None),
+    ("x0=1e12,queue=1", Report(None, None, 1.0)),
+    ("{" * 60_000, None), ('{"x0":' * 60_000, None),
     ("", None), ("x0", None), ("{", None), ("[]", None),
 ])
 def test_reports(text, report):
@@ -293,6 +302,13 @@
     listing(ENTRY | {"dial": "a:99999"}),
     listing({name: value for name, value in ENTRY.items() if name != "health"}),
     listing("s-1"),
+    listing(ENTRY | {"born_ms": float("inf")}),
+    listing(ENTRY | {"share": 10**400}),
+    listing(ENTRY | {"share": float("nan")}),
+    listing(ENTRY | {"health": ["in_service"]}),
+    listing(ENTRY | {"dial": "\ud800:7070"}),
+    listing(seq=float("inf")),
+    b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + b"[" * 60_000,
     b"what is this\r\n\r\n",
     listing(ENTRY)[:-5],
 ])
