Name the refused id apart from the ids taken; plainer stop and reload

Read again, no behaviour changed: the exception Taken in protocol/clients.py shared its name with the set of ids in net/indices.py and is IdTaken now; the time for which a planned stop keeps connections is written as what it is; idle clients are woken once in it, not every 10 ms; what needs a restart is drawn from what has changed.

--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -132,8 +132,8 @@
         except PlanError as fault:
             log.error("reload_refused", why=str(fault))
             return
-        fixed = [name for name in ("listen", "names") if getattr(new, name) != getattr(old, name)]
         changed = [name for name in Plan._fields if getattr(new, name) != getattr(old, name)]
+        fixed = [name for name in changed if name in ("listen", "names")]
         self.plan = new._replace(listen=old.listen, names=old.names)
         if new.names != old.names:
             # Work items and workers are held under the numbers of these names.
@@ -168,9 +168,9 @@
         self.engine.stop(seconds)
         # Another dispatcher may be down just then, and clients have nowhere to go but here; later what cannot
         # end in time goes elsewhere at once. Where there is no other, all the time there is counts.
-        keep = seconds * (KEPT if self.plan.terms.dispatchers > 1 else 1 - LAST_WORDS / seconds)
+        keep = seconds * KEPT if self.plan.terms.dispatchers > 1 else seconds - LAST_WORDS
         while (now := self.loop.time()) < begun + seconds:
-            if now > begun + keep:
+            if self.listener.keeping and now > begun + keep:
                 self.listener.stop_keeping()
             if now > begun + NEW_CONNECTIONS and not self.engine.owes() and not self.listener.kept():
                 break
--- a/heronwinch/protocol/clients.py
+++ b/heronwinch/protocol/clients.py
@@ -76,7 +76,7 @@
     status = 405
 
 
-class Taken(BadRequest):
+class IdTaken(BadRequest):
     status = 409
 
 
@@ -158,7 +158,7 @@
         asked, body = self.asked, self.body.take()
         if type(asked) is Job:
             if asked.id in self.door.taken:  # it may have been taken since the head came
-                raise Taken("Req-Id is that of an open request")
+                raise IdTaken("Req-Id is that of an open request")
             asked = asked._replace(body=body)
         self.owed = True
         return asked
@@ -196,7 +196,7 @@
     if not ID.fullmatch(id):
         raise BadRequest("Req-Id is missing or no plain word")
     if id in door.taken:
-        raise Taken("Req-Id is that of an open request")
+        raise IdTaken("Req-Id is that of an open request")
     if door.needs_ticket[category] if ticket is None else not TICKET.fullmatch(ticket):
         raise BadRequest("Idempotency-Key is missing or no plain word")
     extra = _extra(headers.get(b"req-extra", b"").decode("latin-1"))
