--- a/heronwinch/net/discovery.py
+++ b/heronwinch/net/discovery.py
@@ -18,8 +18,9 @@
 class Line:
     """A connection to discovery, made anew where it is not fit for a further call."""
 
-    def __init__(self, address):
+    def __init__(self, address, machine):
         self.address = address
+        self.machine = machine
         self.streams = None
         self.side = None
 
@@ -28,7 +29,8 @@
         whole = False
         try:
             async with asyncio.timeout(seconds):
-                if self.streams is None or not self.side.reusable or not sockets.is_quiet(self.streams[1]):
+                if (self.streams is None or not self.side.reusable
+                        or not self.machine.is_quiet(self.streams[1])):
                     self.close()
                     async with asyncio.timeout(PATIENCE):
                         self.streams = await asyncio.open_connection(
@@ -60,7 +62,7 @@
         self.address = address
         self.watch = watch
         self.watching = None
-        self.fetching = set()
+        self.fetching = {}  # tasks, in the order of their start
         self.failing = False
         self.uncertain = False  # whether the version held is one of this discovery's: the next list is whole
 
@@ -71,8 +73,8 @@
 
     def fetch(self):
         task = asyncio.create_task(self._fetch())
-        self.fetching.add(task)
-        task.add_done_callback(self.fetching.discard)
+        self.fetching[task] = None
+        task.add_done_callback(self.fetching.pop)
 
     def move(self, address):
         """Discovery is elsewhere from now on: asked there at once, and no more at the old address. Another's
@@ -108,7 +110,7 @@
 
     @contextlib.asynccontextmanager
     async def _line(self):
-        line = Line(self.address)
+        line = Line(self.address, self.workers.machine)
         try:
             yield line
         except Exception as fault:
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -37,16 +37,16 @@
     Outside it there are the clients of work items (`finish`, `defer`, `write_off`), the workers (`start`,
     `cancel`, `probe`, `close_idle`, `listed`) and discovery (`subscribe`, `fetch`)."""
 
-    def __init__(self, make, terms, names, seed, clock, watch):
+    def __init__(self, make, terms, names, seed, machine, watch):
         self.make = make
         self.terms = terms
         self.random = Random(seed)
-        self.clock = clock
+        self.machine = machine
         self.watch = watch
         self.loop = asyncio.get_running_loop()
         self.categories = {as_path(name): i for i, name in enumerate(names.categories)}
         self.keys = Indices()
-        self.taken = Taken(clock, *REMEMBERED)
+        self.taken = Taken(machine, *REMEMBERED)
         self.items = {}
         self.count = 0
         self.events = []
@@ -91,7 +91,7 @@
         events, self.events = self.events, []
         parting, self.parting = self.parting, []
         try:
-            actions = self.dispatcher.handle(self.clock.now(), events)
+            actions = self.dispatcher.handle(self.machine.now(), events)
         except Exception:
             # A fault must not take the dispatcher down with all that it holds.
             if self.watch.count("module_fault"):
@@ -133,9 +133,9 @@
         row = self.terms.categories[category]
         self.taken.take(job.id)
         # The client counts from when it sent it, so from the first byte here, not from the last.
-        time_left = max(0, came - self.clock.now() - MARGIN + (
+        time_left = max(0, came - self.machine.now() - MARGIN + (
             row.expiry if job.time_left is None else job.time_left))
-        expiry = self.clock.now() + time_left
+        expiry = self.machine.now() + time_left
         if self.stop_at is not None:
             expiry = min(expiry, self.stop_at)
         self.count += 1
@@ -148,7 +148,7 @@
     def _set_alarm(self, item):
         if item.alarm is not None:
             item.alarm.cancel()
-        seconds = (item.expiry - self.clock.now()) / it.SECOND
+        seconds = (item.expiry - self.machine.now()) / it.SECOND
         item.alarm = self.loop.call_later(seconds + OVERDUE, self._overdue, item)
 
     def _overdue(self, item):
@@ -167,12 +167,12 @@
 
     def stop(self, seconds):
         """A planned stop: all that is taken is answered within so many seconds."""
-        self.stop_at = self.clock.now() + int(seconds * it.SECOND)
+        self.stop_at = self.machine.now() + int(seconds * it.SECOND)
         for item in self.items.values():
             if not item.ended and item.expiry > self.stop_at:
                 item.expiry = self.stop_at
                 self._set_alarm(item)
-        self.post(it.Stopping(self.stop_at - self.clock.now()))
+        self.post(it.Stopping(self.stop_at - self.machine.now()))
 
     def owes(self):
         """How many work items wait for their answer."""
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -29,7 +29,7 @@
         self.reader, self.writer = reader, writer
         self.side = ClientSide(listener.door)
         self.item = None
-        self.came = self.connected = self.engine.clock.now()  # the first byte of the present request
+        self.came = self.connected = self.engine.machine.now()  # the first byte of the present request
         self.rested = 0  # since when it stands between two requests
         self.known = 0  # how often it has handed in work
         self.wait = None  # the time limit of the present read
@@ -41,7 +41,7 @@
             if not data:
                 return
             if self.side.between:
-                self.came = self.engine.clock.now() - sockets.age(self.writer)
+                self.came = self.engine.machine.now() - self.engine.machine.age(self.writer)
             self._react(self.side.feed(data))
             self._rest()
         await self.linger()
@@ -82,7 +82,7 @@
             return LONGEST_IDLE
         # For the whole of it: neither silence nor a byte now and then holds a connection for ever.
         since = self.came if self.known else self.connected
-        return max(0.0, LONGEST_REQUEST - (self.engine.clock.now() - since) / SECOND)
+        return max(0.0, LONGEST_REQUEST - (self.engine.machine.now() - since) / SECOND)
 
     def wake(self, seconds):
         """A new time limit for the read that is under way."""
@@ -134,7 +134,7 @@
     def _rest(self):
         """Where it stands among those that may have to make room."""
         if self.side.between and self.known:
-            self.rested = self.engine.clock.now()
+            self.rested = self.engine.machine.now()
         self.listener.place(self)
         self.wake(self._limit())
 
@@ -180,7 +180,7 @@
             client.side.door = door
 
     async def listen(self, host, port):
-        sock = sockets.listening(host, port)
+        sock = self.engine.machine.listening(host, port)
         # Accepted all in one turn, a flood of connections takes all descriptors before any can be looked at.
         self.server = await asyncio.start_server(
             self._connected, sock=sock, limit=sockets.READ_AHEAD, backlog=self.budget.accepts)
@@ -253,7 +253,7 @@
                 client.writer.transport.abort()
                 return True
         client = next(iter(self.idle), None)
-        if client is None or self.engine.clock.now() - client.rested < SHORTEST_IDLE * SECOND:
+        if client is None or self.engine.machine.now() - client.rested < SHORTEST_IDLE * SECOND:
             return False
         del self.idle[client]
         client.wake(0)
--- /dev/null
+++ b/heronwinch/net/machine.py
@@ -0,0 +1,60 @@
+"""What the program asks of the machine it runs on beside streams: the time, what is known of sockets.
+
+The one seam between `net/` and the system, so that the same program runs on a simulated machine. It decides
+nothing."""
+
+import resource
+import select
+import socket
+import struct
+import time
+
+PIECE = 32 * 1024  # bytes that the system holds for a client's connection; it takes twice that
+
+
+class Machine:
+    """The real one. Times are whole nanoseconds of Unix time that never step back: workers' starts are told
+    in Unix time, and the system's wall clock may be set while the dispatcher runs."""
+
+    def __init__(self):
+        self.offset = time.time_ns() - time.monotonic_ns()
+
+    def now(self):
+        return time.monotonic_ns() + self.offset
+
+    def age(self, writer):
+        """Nanoseconds since the last bytes came in, by the system's word: they may have lain unread while the
+        process stood still, and a client's time runs from when it sent them."""
+        try:
+            info = writer.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
+            (milliseconds,) = struct.unpack_from("I", info, 52)  # tcpi_last_data_recv
+        except (AttributeError, OSError, struct.error):
+            return 0  # not on this system
+        return milliseconds * 1_000_000
+
+    def is_quiet(self, writer):
+        """Whether the peer has said nothing, not even its end, that is still unread."""
+        sock = writer.get_extra_info("socket")
+        if writer.is_closing() or sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def listening(self, host, port):
+        """A socket that listens; what the system holds for each of its connections is bounded."""
+        family, kind, proto, _, address = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
+        sock = socket.socket(family, kind, proto)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE)
+            sock.bind(address)
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
+    def descriptors(self):
+        """How many descriptors the process may hold at most."""
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        return 2**31 if soft == resource.RLIM_INFINITY else soft
--- a/heronwinch/net/sockets.py
+++ b/heronwinch/net/sockets.py
@@ -2,14 +2,9 @@
 
 import asyncio
 import contextlib
-import resource
-import select
-import socket
-import struct
 
 SPARE = 20  # standard streams, the loop's own, listener, discovery: at a reload the old and the new one
 READ_AHEAD = 8 * 1024  # bytes that a stream reads before they are asked for, twice that at most
-PIECE = 32 * 1024  # bytes that the system holds for a client's connection; it takes twice that
 LINGER = 0.5  # seconds that a connection may take to send what is left, and its peer to read it
 ONE_MORE_LOOK = 0.001  # seconds: what came as a wait ended, or while the process stood still, is not lost
 BARE = 28  # MB that the program takes without connections
@@ -23,9 +18,6 @@
     out the other. Never so many that all of them full would take more than the memory."""
 
     def __init__(self, most, memory_mb):
-        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if soft != resource.RLIM_INFINITY:
-            most = min(most, soft)
         most = min(most, max(FEWEST, (memory_mb - BARE) * 1024 * 1024 // FULL))
         third = most // 3
         self.accepts = max(1, third // 16)  # a loop turn; they may count for three turns
@@ -34,27 +26,6 @@
         self.workers = max(1, most - third - SPARE)
 
 
-def age(writer):
-    """Nanoseconds since the last bytes came in, by the system's word: they may have lain unread while the
-    process stood still, and a client's time runs from when it sent them."""
-    try:
-        info = writer.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 56)
-        (milliseconds,) = struct.unpack_from("I", info, 52)  # tcpi_last_data_recv
-    except (AttributeError, OSError, struct.error):
-        return 0  # not on this system
-    return milliseconds * 1_000_000
-
-
-def is_quiet(writer):
-    """Whether the peer has said nothing, not even its end, that is still unread."""
-    sock = writer.get_extra_info("socket")
-    if writer.is_closing() or sock is None or sock.fileno() < 0:
-        return False
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return not poll.poll(0)
-
-
 async def closed(writer):
     """Close once all is written, and be back when the descriptor is free; a peer that does not read does not
     hold it for long."""
@@ -65,20 +36,6 @@
     limit.cancel()
 
 
-def listening(host, port):
-    """A socket that listens; what the system holds for each of its connections is bounded."""
-    family, kind, proto, _, address = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
-    sock = socket.socket(family, kind, proto)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, PIECE)
-        sock.bind(address)
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
 async def read(reader, seconds):
     """The next bytes, b"" at the end of the connection, however it came; TimeoutError after so long."""
     for limit in (seconds, ONE_MORE_LOOK):
--- a/heronwinch/net/watch.py
+++ b/heronwinch/net/watch.py
@@ -1,6 +1,5 @@
-"""The clock, counts of what goes wrong, and the checks of what must hold."""
+"""Counts of what goes wrong, and the checks of what must hold."""
 
-import time
 from collections import Counter
 
 import structlog
@@ -8,17 +7,6 @@
 log = structlog.get_logger()
 
 
-class Clock:
-    """Whole nanoseconds of Unix time that never step back: workers' starts are told in Unix time, and the
-    system's wall clock may be set while the dispatcher runs."""
-
-    def __init__(self):
-        self.offset = time.time_ns() - time.monotonic_ns()
-
-    def now(self):
-        return time.monotonic_ns() + self.offset
-
-
 class Watch:
     """Counts each kind of trouble; no line per work item, but one now and then that sums them up."""
 
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -54,7 +54,7 @@
     def __init__(self, workers, item, number, worker, until, patience):
         self.workers, self.item, self.number, self.worker = workers, item, number, worker
         self.until, self.patience = until, patience
-        self.begun = workers.clock.now()
+        self.begun = workers.machine.now()
         self.task = None
         self.outcome = None
 
@@ -62,16 +62,16 @@
         """Its outcome; what is said of it later does not count."""
         if self.outcome is None:
             self.outcome = over.outcome
-            elapsed = self.workers.clock.now() - self.begun
+            elapsed = self.workers.machine.now() - self.begun
             self.workers.engine.settle(self.item, self.number, self.worker.number, over, elapsed)
 
 
 class Workers:
-    def __init__(self, engine, names, terms, most, clock, watch):
+    def __init__(self, engine, names, terms, most, machine, watch):
         self.engine = engine
         self.terms = terms
         self.most = most
-        self.clock = clock
+        self.machine = machine
         self.watch = watch
         self.areas = {name: i for i, name in enumerate(names.areas)}
         self.kinds = {name: i for i, name in enumerate(names.kinds)}
@@ -140,14 +140,14 @@
     def _enter(self, worker, entry):
         was_ready = worker.entry is None or worker.entry.standing == it.Standing.READY
         if was_ready and entry.standing != it.Standing.READY:
-            worker.left = self.clock.now()
+            worker.left = self.machine.now()
         worker.entry = entry
         if entry.standing == it.Standing.GONE:
             self._close_all(worker)
 
     def _forget(self):
         """Machines come and go; those gone for long, with nothing out there, are not kept in mind."""
-        last = self.clock.now() - KEPT_IN_MIND
+        last = self.machine.now() - KEPT_IN_MIND
         busy = {ho.worker for ho in self.carrying.values()}
         for worker in list(self.by_number.values()):
             if (worker.entry.standing == it.Standing.GONE and worker.left < last
@@ -203,7 +203,7 @@
             self._drop_idle(next(iter(self.idle)))
         self.open += 1
         address = worker.address
-        seconds = min(self.terms.connect_timeout or it.SECOND, max(1, until - self.clock.now())) / it.SECOND
+        seconds = min(self.terms.connect_timeout or it.SECOND, max(1, until - self.machine.now())) / it.SECOND
         try:
             async with asyncio.timeout(seconds):
                 streams = await asyncio.open_connection(*address, limit=sockets.READ_AHEAD)
@@ -216,13 +216,13 @@
         return Connection(address, *streams)
 
     def _is_fit(self, connection):
-        return (self.clock.now() - connection.idle_since < self.longest_idle
-                and not connection.reader.at_eof() and sockets.is_quiet(connection.writer))
+        return (self.machine.now() - connection.idle_since < self.longest_idle
+                and not connection.reader.at_eof() and self.machine.is_quiet(connection.writer))
 
     def _keep(self, worker, connection):
         if worker.entry.standing == it.Standing.GONE or worker.address != connection.address:
             return False
-        connection.idle_since = self.clock.now()
+        connection.idle_since = self.machine.now()
         worker.idle.append(connection)
         self.idle[connection] = worker
         return True
@@ -295,7 +295,7 @@
 
     async def _receive(self, ho, connection):
         side = connection.side
-        taken_by = min(ho.until, self.clock.now() + ho.patience) if ho.patience else ho.until
+        taken_by = min(ho.until, self.machine.now() + ho.patience) if ho.patience else ho.until
         while not side.over:
             seconds = self._seconds_to(ho.until if side.taken else taken_by)
             for news in side.feed(await sockets.read(connection.reader, seconds)):
@@ -317,11 +317,11 @@
         ho.settle(Over(it.Outcome.RESET))
 
     def _seconds_to(self, until):
-        return max(0, until - self.clock.now()) / it.SECOND
+        return max(0, until - self.machine.now()) / it.SECOND
 
     def _left_long_ago(self, worker):
         return (worker.entry.standing != it.Standing.READY
-                and self.clock.now() - worker.left > self.terms.drain_grace // 2)
+                and self.machine.now() - worker.left > self.terms.drain_grace // 2)
 
     async def _finish(self, worker, connection):
         """Reads an answer to its end, so that its connection can be kept."""
@@ -333,7 +333,7 @@
         return connection.side.reusable and self._keep(worker, connection)
 
     async def _probe(self, worker):
-        begun = self.clock.now()
+        begun = self.machine.now()
         over = Over(it.Outcome.TIMEOUT)
         try:
             over = await self._ask(worker, begun + (self.terms.connect_timeout or it.SECOND))
@@ -346,7 +346,7 @@
             del self.probing[worker.number]
             if over.outcome != it.Outcome.OK:
                 self.watch.count("probe_" + over.outcome.name.lower())
-            self.engine.post(it.Probed(worker.number, self.clock.now() - begun, over.outcome, over.report))
+            self.engine.post(it.Probed(worker.number, self.machine.now() - begun, over.outcome, over.report))
 
     async def _ask(self, worker, until):
         while True:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,8 +12,9 @@
 from heronwinch.net.engine import Engine, Item
 from heronwinch.net.indices import Indices, Taken
 from heronwinch.net.listener import LONGEST_IDLE, LONGEST_REQUEST, SHORTEST_IDLE, Client, Listener
+from heronwinch.net.machine import Machine
 from heronwinch.net.sockets import BARE, FULL, Budget
-from heronwinch.net.watch import Clock, Watch
+from heronwinch.net.watch import Watch
 from heronwinch.net.workers import Connection, Workers
 from heronwinch.protocol.clients import Job
 from heronwinch.protocol.discovery import Host, Listing
@@ -68,7 +69,7 @@
 
         async def main():
             row = CATEGORY._replace(effect=effect)
-            engine = Engine(make, TERMS._replace(categories=(row,), **terms), NAMES, 1, Clock(), Watch())
+            engine = Engine(make, TERMS._replace(categories=(row,), **terms), NAMES, 1, Machine(), Watch())
             engine.workers = engine.discovery = Played()
             async with asyncio.timeout(10):  # nothing here takes so long unless it hangs
                 await scene(engine, modules)
@@ -92,7 +93,7 @@
 def test_a_turns_events_are_handled_in_one_call_and_never_re_entered(play):
     async def scene(engine, modules):
         client = Played()
-        first, second = (engine.arrive(JOB, client, engine.clock.now()) for _ in range(2))
+        first, second = (engine.arrive(JOB, client, engine.machine.now()) for _ in range(2))
         engine.leave(first)
         await turns()
         assert [type(e) for e in modules[0].batches[0]] == [it.Arrived, it.Arrived, it.Left]
@@ -107,7 +108,7 @@
     async def scene(engine, modules):
         client = Played()
         for _ in range(5):
-            item = engine.arrive(JOB, client, engine.clock.now())
+            item = engine.arrive(JOB, client, engine.machine.now())
             await turns()
             engine.settle(item, 0, 8, Over(Outcome.OK, b"r"), 5)
         await turns()
@@ -127,7 +128,7 @@
 
 def test_time_left_counts_from_when_it_was_sent(play):
     async def scene(engine, modules):
-        engine.arrive(JOB, Played(), engine.clock.now() - 400 * MS)
+        engine.arrive(JOB, Played(), engine.machine.now() - 400 * MS)
         await turns()
         assert 500 * MS < modules[0].batches[0][0].time_left < 600 * MS
     play(scene, {})
@@ -142,17 +143,17 @@
 def test_a_fault_of_the_module_is_counted_and_its_items_are_answered(play, effect, outcome, answer):
     async def scene(engine, modules):
         out, waiting = Played(), Played()
-        item = engine.arrive(JOB, out, engine.clock.now())
+        item = engine.arrive(JOB, out, engine.machine.now())
         await turns()
         modules[0].script = modules[0].script | {it.Arrived: fail}
-        engine.arrive(JOB, waiting, engine.clock.now())
+        engine.arrive(JOB, waiting, engine.machine.now())
         await turns()
         assert engine.watch.counts["module_fault"] == 1 and len(modules) == 2
         assert waiting.named("defer") and not out.calls  # what is out may still be served
         engine.settle(item, 0, 8, Over(outcome), 5)
         await turns()
         assert [call[0] for call in out.calls] == [answer] and not engine.items
-        engine.arrive(JOB, Played(), engine.clock.now())  # and it goes on
+        engine.arrive(JOB, Played(), engine.machine.now())  # and it goes on
         await turns()
         assert len(engine.workers.named("start")) == 2
     play(scene, {it.Arrived: hand_off}, effect)
@@ -171,11 +172,11 @@
 
 def test_a_timer_rings_no_sooner_than_asked(play):
     async def scene(engine, modules):
-        begun = engine.clock.now()
+        begun = engine.machine.now()
         engine.post(it.Left(1))
         while not any(type(e) is it.Rang for batch in modules[0].batches for e in batch):
             await asyncio.sleep(0)
-        assert engine.clock.now() >= begun + 5 * MS
+        assert engine.machine.now() >= begun + 5 * MS
     play(scene, {it.Left: lambda e: [it.SetTimer(5 * MS, 9)]})
 
 
@@ -183,7 +184,7 @@
 def test_who_gets_no_answer_from_the_module_gets_one_all_the_same(play, effect, answer):
     async def scene(engine, modules):
         client = Played()
-        engine.arrive(JOB._replace(time_left=10 * MS), client, engine.clock.now())
+        engine.arrive(JOB._replace(time_left=10 * MS), client, engine.machine.now())
         while not client.calls:
             await asyncio.sleep(0.005)
         assert client.calls[0][0] == answer and engine.watch.counts["overdue"] == 1
@@ -193,17 +194,17 @@
 def test_a_planned_stop_is_told_and_bounds_hand_offs(play):
     async def scene(engine, modules):
         engine.stop(0.2)
-        engine.arrive(JOB, Played(), engine.clock.now())
+        engine.arrive(JOB, Played(), engine.machine.now())
         await turns()
         assert type(modules[0].batches[0][0]) is it.Stopping
         ((_, item, number, worker, until, _),) = engine.workers.named("start")
-        assert until == engine.stop_at < engine.clock.now() + 200 * MS
+        assert until == engine.stop_at < engine.machine.now() + 200 * MS
     play(scene, {it.Arrived: hand_off})
 
 
 def test_what_must_hold_is_asserted_here(play):
     async def scene(engine, modules):
-        engine.arrive(JOB, Played(), engine.clock.now())
+        engine.arrive(JOB, Played(), engine.machine.now())
         await turns()
         # Refused, logged, counted; the actions that follow are carried out.
         assert engine.watch.counts["action_fault"] == 1 and len(engine.workers.named("start")) == 1
@@ -245,7 +246,7 @@
         async def connect(*_):
             return Connection(("127.0.0.1", 7070), stream, stream)
         workers._connect = connect
-        item = Item(1, JOB, None, Effect.RERUNNABLE, workers.clock.now() + 1000 * MS)
+        item = Item(1, JOB, None, Effect.RERUNNABLE, workers.machine.now() + 1000 * MS)
         workers.start(item, 0, 1, item.expiry, 0)
         while not workers.engine.named("settle"):
             await asyncio.sleep(0)
@@ -265,11 +266,11 @@
             stream = Garbled()
             stream.parts = answers.pop()
             connection = Connection(("127.0.0.1", 7070), stream, stream)
-            connection.idle_since = workers.clock.now() if answers else 0
+            connection.idle_since = workers.machine.now() if answers else 0
             return connection
         workers._connect = connect
         answers[:] = [[], [b"", *word]]
-        item = Item(1, JOB, None, Effect.RERUNNABLE, workers.clock.now() + 1000 * MS)
+        item = Item(1, JOB, None, Effect.RERUNNABLE, workers.machine.now() + 1000 * MS)
         workers.start(item, 0, 1, item.expiry, 0)
         while not workers.engine.named("settle"):
             await asyncio.sleep(0)
@@ -297,10 +298,10 @@
         workers.list(it.ListKind.FULL, Listing(1, True, (host("s"), host("t"))))
         workers._carry = lambda ho: asyncio.Event().wait()  # nothing says that it ended
         for number, worker in enumerate((1, 1, 2)):
-            item = Item(number, JOB, None, Effect.RERUNNABLE, workers.clock.now() + 9000 * MS)
+            item = Item(number, JOB, None, Effect.RERUNNABLE, workers.machine.now() + 9000 * MS)
             workers.start(item, 0, worker, item.expiry, 0)
         workers.carrying[1, 0].begun += 2000 * MS  # handed to it as it is now
-        started = workers.clock.now() // MS + 1000
+        started = workers.machine.now() // MS + 1000
         workers.list(it.ListKind.DELTA, Listing(2, False, (host("s")._replace(started_ms=started),)))
         settled = [(call[1].number, call[4].outcome) for call in workers.engine.named("settle")]
         assert settled == [(0, Outcome.RESET)]
@@ -316,7 +317,7 @@
     async def main(address):
         async with asyncio.timeout(10):
             with pytest.raises(TimeoutError):
-                await discovery.Line(address).call(None, 3600)
+                await discovery.Line(address, Machine()).call(None, 3600)
     with deaf() as address:
         asyncio.run(main(address))
 
@@ -344,7 +345,7 @@
 
 @pytest.fixture
 def workers():
-    return Workers(Played(), NAMES, TERMS, 8, Clock(), Watch())
+    return Workers(Played(), NAMES, TERMS, 8, Machine(), Watch())
 
 
 def test_a_worker_keeps_its_number_over_a_change_of_address(workers):
@@ -390,7 +391,7 @@
         client.known = 1
         assert client._limit() == LONGEST_IDLE
         client.side.feed(b"POST /render")
-        client.came = engine.clock.now() - int(0.9 * LONGEST_REQUEST * it.SECOND)
+        client.came = engine.machine.now() - int(0.9 * LONGEST_REQUEST * it.SECOND)
         assert 0 < client._limit() < 0.2 * LONGEST_REQUEST
         client.came -= int(LONGEST_REQUEST * it.SECOND)
         assert client._limit() == 0
@@ -428,7 +429,7 @@
 
 
 def test_an_id_is_taken_for_a_while_after_its_work_item_ended():
-    clock = Clock()
+    clock = Machine()
     taken = Taken(clock, it.SECOND, 2)
     for id in "abcd":
         taken.take(id)
