--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -47,4 +47,6 @@
 
 
 if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        from heronwinch.cli import main
     sys.exit(main())
--- /dev/null
+++ b/heronwinch/cli.py
@@ -0,0 +1,257 @@
+"""The command line. Without arguments `python -m heronwinch` goes on serving and imports none of this."""
+
+import json
+import sys
+
+import click
+
+KEPT, BROKEN, BAD_INPUT, FAILED = 0, 1, 2, 3  # exit statuses
+POLICIES = ("module", "random", "two-choices", "least-own", "careless")
+
+
+class Bad(click.ClickException):
+    """Bad input: one plain line."""
+
+    exit_code = BAD_INPUT
+
+    def show(self, file=None):
+        click.echo(f"heronwinch: {self.message}", err=True)
+
+
+class Stop(click.ClickException):
+    """The rehearsal itself failed."""
+
+    exit_code = FAILED
+
+    def show(self, file=None):
+        click.echo(f"heronwinch: {self.message}", err=True)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="heronwinch")
+def main():
+    """A dispatcher beside each submitter that pushes work items to workers, and rehearsals of a fleet of
+    them.
+
+    Exit status: 0 all rules kept, 1 a rule broken, 2 bad input, 3 the rehearsal itself failed.
+    """
+
+
+@main.command()
+def serve():
+    """Run a dispatcher; the configuration is told by RELAY_CONFIG."""
+    from heronwinch.__main__ import main as run
+
+    sys.exit(run())
+
+
+def read(path):
+    from heronwinch.rehearsal.script import ScriptError, read_script
+
+    try:
+        return read_script(path)
+    except ScriptError as fault:
+        raise Bad(str(fault)) from None
+
+
+def write(path, text):
+    try:
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+    except OSError as fault:
+        raise Bad(f"{path}: cannot be written: {fault}; name another file") from None
+
+
+class Progress:
+    """How far a run is, on a terminal, and not more often than it can be read."""
+
+    def __init__(self, label, whole):
+        self.label, self.whole = label, whole
+        self.shown = sys.stderr.isatty()
+
+    def __call__(self, done):
+        if self.shown:
+            click.echo(f"\r{self.label} {done:.0f} of {self.whole:.0f} s", nl=False, err=True)
+
+    def end(self):
+        if self.shown:
+            click.echo("\r" + " " * 60 + "\r", nl=False, err=True)
+
+
+def as_json(tree):
+    return json.dumps(tree, indent=1, sort_keys=True) + "\n"
+
+
+def summary(tree):
+    """A run in a few lines."""
+    credit = "-" if tree["credit"] is None else f"{tree['credit']:.4f}"
+    answers = " ".join(f"{name}:{count}" for name, count in tree["answers"].items())
+    yield (
+        f"{tree['script']}  seed {tree['seed']}  policy {tree['policy']}  credit {credit}"
+        f"  waste {tree['waste']}"
+    )
+    yield (
+        f"wanted {tree['wanted']}  in time {tree['in_time']}  late {tree['late']}"
+        f"  requests {tree['requests']}  answers {answers}"
+    )
+    for name, row in tree["categories"].items():
+        yield (
+            f"  {name:<16} credit {row['credit']}  p50 {row['p50_ms']} ms  p99 {row['p99_ms']} ms"
+            f"  p99.9 {row['p99.9_ms']} ms"
+        )
+    if tree["fallen"]:
+        yield f"fallen workers: {', '.join(tree['fallen'])}"
+    if tree["digest"]:
+        yield f"digest {tree['digest']}"
+
+
+def finish(tree, breaches, judge, path):
+    """Shows how a run went, writes it down and ends with its status."""
+    from heronwinch.rehearsal.account import courses
+
+    if path:
+        write(path, as_json(tree))
+    for line in summary(tree):
+        click.echo(line)
+    for line in courses(judge, breaches):
+        click.echo(line)
+    if breaches:
+        click.echo("rules broken: " + ", ".join(f"{rule} {n}" for rule, n in tree["rules"].items() if n))
+        sys.exit(BROKEN)
+    click.echo("all rules kept")
+
+
+@main.command()
+@click.argument("script")
+@click.option("--seed", type=int, default=1, show_default=True, help="Of all chance in the run.")
+@click.option(
+    "--policy", type=click.Choice(POLICIES), default="module", show_default=True, help="Who decides."
+)
+@click.option("--json", "path", metavar="FILE", help="Write the figures and breaches there.")
+@click.option("--logs", metavar="FILE", help="Write the dispatchers' log events there, a JSON line each.")
+def rehearse(script, seed, policy, path, logs):
+    """Play SCRIPT in virtual time: the same seed, the same run to the byte."""
+    from heronwinch.rehearsal.account import account
+    from heronwinch.rehearsal.baselines import POLICIES as policies
+    from heronwinch.rehearsal.virtual import rehearse as play
+
+    told = read(script)
+    progress = Progress(told.name, told.seconds / 1e9)
+    try:
+        stage, ground = play(told, seed, policies[policy], progress)
+    except Exception as fault:
+        raise Stop(f"{script}: the rehearsal failed: {type(fault).__name__}: {fault}") from fault
+    finally:
+        progress.end()
+    if logs:
+        rows = (
+            {"at_ns": when, "from": name, "level": level, **event} for when, name, level, event in ground.logs
+        )
+        write(logs, "".join(json.dumps(row, default=str) + "\n" for row in rows))
+    tree, breaches, judge = account(
+        told, seed, policy, stage.ledgers, ground.kernel.digest(), ground.kernel.events
+    )
+    finish(tree, breaches, judge, path)
+
+
+@main.command()
+@click.argument("script")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "path", metavar="FILE", help="Write the figures and breaches there.")
+@click.option("--serve", "only", is_flag=True, help="Workers and discovery alone, until interrupted.")
+@click.option("--port", type=int, default=7080, show_default=True, help="Of discovery, with --serve.")
+def emulate(script, seed, path, only, port):
+    """Play SCRIPT on loopback sockets in real time, with real dispatcher processes."""
+    from heronwinch.rehearsal.account import account
+    from heronwinch.rehearsal.loopback import Unplayable, play, serve_fleet
+
+    told = read(script)
+    try:
+        if only:
+            serve_fleet(told, seed, port, lambda line: click.echo(line))
+            return
+        progress = Progress(told.name, told.seconds / 1e9)
+        try:
+            stage = play(told, seed, progress)
+        finally:
+            progress.end()
+    except Unplayable as fault:
+        raise Bad(f"{script}: {fault}") from None
+    except OSError as fault:
+        raise Stop(f"{script}: the emulator failed: {fault}") from fault
+    tree, breaches, judge = account(told, seed, "module", stage.ledgers)
+    finish(tree, breaches, judge, path)
+
+
+@main.command()
+@click.option("--runs", type=click.IntRange(1, 1_000_000), default=200, show_default=True)
+@click.option(
+    "--jobs", type=click.IntRange(1, 256), default=None, help="Processes; as many as cores by default."
+)
+@click.option("--seed", type=int, default=1, show_default=True, help="The first of the seeds.")
+@click.option(
+    "--out", metavar="DIR", default="found", show_default=True, help="Where failing scripts are written."
+)
+@click.option("--json", "path", metavar="FILE", help="Write what was played and found there.")
+@click.option("--fault", help="Plant a fault in the program, to see that it is found (see the docs).")
+def explore(runs, jobs, seed, out, path, fault):
+    """Play random overlapping troubles; shrink whatever breaks a rule to a script that replays it."""
+    from heronwinch.rehearsal.explorer import explore as search
+    from heronwinch.rehearsal.faults import FAULTS
+
+    if fault is not None and fault not in FAULTS:
+        raise Bad(f"--fault: no fault is called {fault}; there are {', '.join(FAULTS)}")
+    shown = sys.stderr.isatty()
+
+    def told(line):
+        if shown or not line.startswith("\r"):
+            click.echo(line, err=True, nl=not line.startswith("\r"))
+
+    try:
+        found = search(runs, jobs, seed, out, fault, told)
+    except OSError as problem:
+        raise Stop(f"explore failed: {problem}") from problem
+    if path:
+        write(path, as_json(found))
+    click.echo(
+        f"{found['runs']} runs, {found['virtual_s']:.0f} virtual s, {found['items']} work items, "
+        f"{found['troubles']} troubles: {len(found['failures'])} runs broke a rule, "
+        f"{len(found['crashes'])} rehearsals failed"
+    )
+    for failure in found["failures"]:
+        click.echo(f"seed {failure['seed']}: {', '.join(failure['rules'])}: {failure['says']}")
+        click.echo(
+            f"  shrunk to {failure['shrunk']}: heronwinch rehearse {failure['file']} --seed {failure['seed']}"
+        )
+    for crash in found["crashes"]:
+        click.echo(f"seed {crash['seed']}: {crash['says']}")
+    sys.exit(BROKEN if found["failures"] else FAILED if found["crashes"] else KEPT)
+
+
+@main.command()
+@click.argument("plan")
+@click.option(
+    "--jobs", type=click.IntRange(1, 256), default=None, help="Processes; as many as cores by default."
+)
+@click.option("--json", "path", metavar="FILE", help="Write every run and the table there.")
+@click.option("--html", metavar="FILE", help="Write the table and a plot there.")
+def experiment(plan, jobs, path, html):
+    """Play a grid of settings, scripts and seeds, and compare them with confidence intervals."""
+    from heronwinch.rehearsal.experiment import PlanError, as_html, as_table, read_plan, run
+
+    try:
+        told = read_plan(plan)
+    except PlanError as fault:
+        raise Bad(str(fault)) from None
+    result = run(told, jobs, lambda line: click.echo(line, err=True))
+    if path:
+        write(path, as_json(result))
+    if html:
+        write(html, as_html(result))
+    for line in as_table(result):
+        click.echo(line)
+    sys.exit(BROKEN if result["broken"] else FAILED if result["crashes"] else KEPT)
+
+
+if __name__ == "__main__":
+    main()
--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -3,6 +3,7 @@
 The one seam between `net/` and the system, so that the same program runs on a simulated machine. It decides
 nothing."""
 
+import contextlib
 import resource
 import select
 import socket
@@ -41,6 +42,14 @@
         poll.register(sock.fileno(), select.POLLIN)
         return not poll.poll(0)
 
+    def forget_unsent(self, writer):
+        """What the system holds of it still is dropped with the connection, not sent later: a hand-off that
+        was given up must not come through once a broken path is back."""
+        sock = writer.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
     def listening(self, host, port):
         """A socket that listens; what the system holds for each of its connections is bounded."""
         family, kind, proto, _, address = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -228,8 +228,12 @@
         return True
 
     def _close(self, connection):
-        """At once: what is not written yet of a hand-off given up must not be written any more."""
+        """At once: what is not written yet of a hand-off given up must not be written any more, nor what the
+        system holds be sent later. Guards against a second run of ticketed work at a worker that was cut off
+        when it was handed the first time: its window was over when that came through."""
         self.open -= 1
+        if not connection.side.over:
+            self.machine.forget_unsent(connection.writer)
         connection.writer.transport.abort()
 
     def _drop_idle(self, connection):
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -135,7 +135,7 @@
     __slots__ = (
         "id", "area", "kind", "pod", "standing", "started_at", "slots", "out", "busy", "since", "loose",
         "memory", "shut_until", "fails", "free", "waiting", "heard", "probing", "askers", "pushed", "others",
-        "told", "told_at", "drawn_at", "granted", "weight", "circle", "table", "table_at",
+        "told", "told_at", "drawn_at", "granted", "weight", "circle", "table", "table_at", "refuses",
     )
 
     def __init__(self, entry, epoch):
@@ -147,6 +147,7 @@
         self.since = 0  # the slots asked by those sent since its last report
         self.loose = []  # own hand-offs answered, but not yet past the epoch that opens their slots
         self.fails = 0  # in a row
+        self.refuses = False  # the last connection to it did not come up
         self.probing = False
         self.askers = []  # work items that asked for its busy alert
         self.pushed = deque()  # (when, work) sent while it was cold
@@ -831,8 +832,11 @@
         taken = worker.busy + len(worker.askers)
         for ho in worker.loose:
             taken += ho.wi.slots
-        if worker.fails and taken and self.doubt:
-            return 0  # blind, after a failure: one work item at a time, until one is answered
+        if worker.fails and taken and (self.doubt or worker.refuses):
+            # Blind, after a failure: one work item at a time, until one is answered. So too where connections
+            # did not come up: it may be starting again, cold, before the list says so, and all that waited
+            # would push it over at once (or burn its hand-offs while it is down).
+            return 0
         own = slots - taken
         if own < asked and (taken or worker.slots):
             return 0
@@ -871,7 +875,7 @@
 
     def _wait_at(self, worker):
         """How long a work item is likely to wait behind those that a worker holds."""
-        if worker.shut_until > self.now or not worker.slots:
+        if worker.shut_until > self.now or worker.refuses or not worker.slots:
             return NEVER
         if worker.free is None or not self._is_fresh(worker) or self.told:
             return NEVER  # blind; or the others tell of a freed slot at once, so waiting here loses nothing
@@ -966,6 +970,7 @@
         ho.elapsed = x
         if event.outcome == Outcome.OK:
             worker.fails = 0
+            worker.refuses = False
             worker.shut_until = 0
             if ho.direct or not self.run:
                 wi.row.run = moved(wi.row.run, x, 16)
@@ -974,6 +979,8 @@
                 self._learn_pace(worker.kind, log(x / wi.row.run))
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT, Outcome.STALE):
             self._failed(worker)
+            worker.refuses = event.outcome == Outcome.CONNECT_FAILED or (
+                worker.refuses and event.outcome != Outcome.FULL)
             if event.outcome == Outcome.FULL and self._shows_room(event.report, wi):
                 self._contradicted()
 
--- /dev/null
+++ b/heronwinch/rehearsal/account.py
@@ -0,0 +1,113 @@
+"""What a run came to: credit earned over credit asked, answers, waste, percentiles; as a tree for JSON."""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+from heronwinch.rehearsal.judge import RULES, Judge
+
+PERCENTILES = (50, 90, 99, 99.9)
+SHOWN = 20  # breaches with their course
+LINES = 80  # of a course
+
+
+class Tally:
+    """Of a category or an account."""
+
+    def __init__(self):
+        self.wanted = self.in_time = self.late = self.left = 0
+        self.asked = self.earned = 0.0
+        self.times = HdrHistogram(1, 3_600_000_000, 3)  # microseconds
+
+    def add(self, wanted, asks):
+        kind = wanted.kind
+        self.wanted += 1
+        done = next((ask for ask in asks if ask.status == 200 and ask.answered), None)
+        if done is None and wanted.patience:
+            self.left += 1  # the client did not want it to the end
+            return
+        self.asked += kind.credit
+        if done is None:
+            return
+        took = done.answered - wanted.came
+        self.times.record_value(max(1, took // 1000))
+        if took <= kind.due_time + kind.stretch * wanted.work:
+            self.in_time += 1
+            self.earned += kind.credit
+        elif took <= kind.expiry + 50_000_000:
+            self.late += 1
+            self.earned += kind.late_credit * kind.credit
+
+    def tree(self):
+        times = {f"p{p:g}_ms": round(self.times.get_value_at_percentile(p) / 1000, 3) for p in PERCENTILES}
+        return {
+            "wanted": self.wanted,
+            "in_time": self.in_time,
+            "late": self.late,
+            "left": self.left,
+            "credit": _share(self.earned, self.asked),
+            **times,
+        }
+
+
+def _share(part, whole):
+    return round(part / whole, 6) if whole else None
+
+
+def account(script, seed, policy, ledgers, digest=None, events=None):
+    """(the tree, the breaches, the judge)."""
+    judge = Judge(script, ledgers)
+    breaches = judge.judge()
+    whole, by_category, by_account = Tally(), {}, {}
+    for wanted, asks in ledgers.wants:
+        whole.add(wanted, asks)
+        by_category.setdefault(wanted.kind.name, Tally()).add(wanted, asks)
+        if wanted.flow.account:
+            by_account.setdefault(wanted.flow.account, Tally()).add(wanted, asks)
+    used = {ask.body.decode("utf-8", "replace") for ask in ledgers.asks if ask.status == 200}
+    done = sum(run.job.work for run in ledgers.runs if run.end == "done")
+    wasted = sum(run.job.work for run in ledgers.runs if run.end == "done" and run.result not in used)
+    ends = Counter(run.end or "out" for run in ledgers.runs)
+    answers = Counter(str(ask.status) if ask.how == "answered" else ask.how for ask in ledgers.asks)
+    tree = {
+        "script": script.name,
+        "seed": seed,
+        "policy": policy,
+        "digest": digest,
+        "events": events,
+        "credit": _share(whole.earned, whole.asked),
+        **{k: v for k, v in whole.tree().items() if k != "credit"},
+        "requests": len(ledgers.asks),
+        "answers": dict(sorted(answers.items())),
+        "hand_offs": len(ledgers.runs),
+        "ends": dict(sorted(ends.items())),
+        "waste": _share(wasted, done),
+        "bad_clients": len(ledgers.rude),
+        "categories": {name: tally.tree() for name, tally in sorted(by_category.items())},
+        "accounts": {name: tally.tree() for name, tally in sorted(by_account.items())},
+        "fallen": [worker for _, worker, _, _ in ledgers.fallen],
+        "troubles": dict(sorted(ledgers.troubles.items())),
+        "rules": {rule: sum(breach.rule == rule for breach in breaches) for rule in RULES},
+        "breaches": [
+            {"rule": b.rule, "at_s": _at(ledgers, b.when), "id": b.id, "says": b.says}
+            for b in breaches[:SHOWN]
+        ],
+    }
+    return tree, breaches, judge
+
+
+def _at(ledgers, when):
+    from heronwinch.rehearsal.ground.kernel import EPOCH
+
+    return round((when - EPOCH) / 1e9, 6) if when >= EPOCH else 0.0
+
+
+def courses(judge, breaches, most=3):
+    """Lines that tell the first breaches with the whole course of what they are about."""
+    for breach in breaches[:most]:
+        yield f"rule broken ({RULES[breach.rule]}): {breach.id}: {breach.says}"
+        lines = judge.course(breach.id) or judge.course_of_worker(breach.id, breach.when)
+        for when, text in lines[:LINES]:
+            yield f"  {(when - breach.when) / 1e9:+.6f} s  {text}"
+        if len(lines) > LINES:
+            yield f"  ... {len(lines) - LINES} lines more"
--- /dev/null
+++ b/heronwinch/rehearsal/baselines.py
@@ -0,0 +1,210 @@
+"""Other policies behind the module's interface, to compare with. In rehearsals only.
+
+They keep the first two rules as plainly as can be: hand off at once, once more where that is harmless, else
+give the work item up. What they differ in is the choice of the worker; the careless one knows nothing of
+warming.
+"""
+
+from random import Random
+
+from heronwinch import interface as it
+from heronwinch.policy import Dispatcher
+
+ASK_AGAIN = 1 << 62
+FIRST_GUARD = 0
+
+
+class Held:
+    __slots__ = ("row", "expiry", "hos", "may_have_run", "anchor", "area", "pod")
+
+    def __init__(self, row, expiry):
+        self.row, self.expiry = row, expiry
+        self.hos = 0
+        self.may_have_run = False
+        self.anchor = 0  # when the first hand-off that may have run was made
+        self.area = self.pod = None
+
+
+class Plain:
+    """Hands everything off at once; `choose` says where."""
+
+    minds_cold = True
+
+    def __init__(self, terms, seed):
+        self.terms = terms
+        self.random = Random(seed)
+        self.workers = {}  # number -> Entry
+        self.out = {}  # number -> own hand-offs out there
+        self.report = {}  # number -> its last report
+        self.pushed = {}  # cold worker -> [(when, work)]
+        self.run = {}  # category -> mean running time seen
+        self.items = {}
+        self.sent = {}  # (work item, hand-off) -> (when, worker)
+        self.now = 0
+        self.refusals = 0
+        self.reactions = {
+            it.Listed: self._listed,
+            it.Arrived: self._arrived,
+            it.Answered: self._answered,
+            it.Left: self._left,
+            it.Rang: self._rang,
+            it.Stopping: self._stopping,
+            it.Forgotten: self._forgotten,
+            it.Changed: self._changed,
+        }
+
+    def handle(self, now, events):
+        self.now, self.actions = now, []
+        for event in events:
+            reaction = self.reactions.get(type(event))
+            if reaction is not None:
+                reaction(event)
+        return self.actions
+
+    def choose(self, candidates):
+        raise NotImplementedError
+
+    # ---- events
+
+    def _listed(self, event):
+        if event.kind == it.ListKind.FAILED:
+            self.refusals += 1
+            self.actions.append(it.SetTimer(min(it.SECOND, 20_000_000 << min(6, self.refusals)), ASK_AGAIN))
+            return
+        self.refusals = 0
+        if event.kind == it.ListKind.FULL:
+            self.workers = {}
+        for entry in event.entries:
+            if entry.standing == it.Standing.GONE:
+                self.workers.pop(entry.worker, None)
+            else:
+                self.workers[entry.worker] = entry
+                self.out.setdefault(entry.worker, 0)
+        if event.kind == it.ListKind.CACHED:
+            self.actions.append(it.Subscribe(True))
+
+    def _rang(self, event):
+        if event.token == ASK_AGAIN:
+            self.actions.append(it.Subscribe(True))
+
+    def _arrived(self, event):
+        held = self.items[event.wi] = Held(self.terms.categories[event.category], self.now + event.time_left)
+        self._hand_off(event.wi, held, event.category)
+
+    def _hand_off(self, wi, held, category=None):
+        worker = self._pick(held)
+        if worker is None or held.hos >= self.terms.most_hand_offs or self.now >= held.expiry:
+            self._give_up(wi, held)
+            return
+        self.sent[wi, held.hos] = self.now, worker
+        held.hos += 1
+        self.out[worker] += 1
+        self.actions.append(it.HandOff(wi, worker, 0, 0))
+
+    def _pick(self, held):
+        fit = [
+            entry
+            for entry in self.workers.values()
+            if entry.standing == it.Standing.READY
+            and (held.area is None or entry.area == held.area)
+            and (held.pod is None or entry.pod == held.pod)
+        ]
+        if self.minds_cold:
+            fit = [entry for entry in fit if self._warm_enough(entry)] or []
+        if not fit:
+            return None
+        return self.choose([entry.worker for entry in fit])
+
+    def _warm_enough(self, entry):
+        """Cold workers are left alone until they are half warm: crude, and safe."""
+        return self.now - entry.started_at > self.terms.warm_up // 2
+
+    def _answered(self, event):
+        when, worker = self.sent.pop((event.wi, event.ho), (0, None))
+        if worker is not None:
+            self.out[worker] -= 1
+            if event.report is not None:
+                self.report[worker] = event.report
+        held = self.items.get(event.wi)
+        if held is None:
+            return
+        if event.ended:
+            del self.items[event.wi]
+            return
+        if event.outcome not in it.NEVER_RAN:
+            if not held.may_have_run:
+                held.may_have_run, held.anchor = True, when
+                entry = self.workers.get(worker)
+                if entry is not None and held.row.group == it.Group.AREA:
+                    held.area = entry.area
+                if entry is not None and held.row.group == it.Group.POD:
+                    held.pod = entry.pod
+            if held.row.effect == it.Effect.EXCLUSIVE or (
+                held.row.effect == it.Effect.TICKETED and self.now >= held.anchor + held.row.window
+            ):
+                self._give_up(event.wi, held)
+                return
+        self._hand_off(event.wi, held)
+
+    def _give_up(self, wi, held):
+        del self.items[wi]
+        harmless = not held.may_have_run or held.row.effect == it.Effect.RERUNNABLE
+        self.actions.append(it.Defer(wi, 0) if harmless else it.WriteOff(wi))
+
+    def _left(self, event):
+        held = self.items.pop(event.wi, None)
+        if held is not None and self.terms.may_cancel:
+            for number in range(held.hos):
+                if (event.wi, number) in self.sent:
+                    self.actions.append(it.Cancel(event.wi, number))
+
+    def _stopping(self, event):
+        pass  # the engine bounds every hand-off by the stop
+
+    def _forgotten(self, event):
+        self.workers.pop(event.worker, None)
+
+    def _changed(self, event):
+        self.terms = event.terms
+
+
+class RandomChoice(Plain):
+    """Any worker."""
+
+    def choose(self, candidates):
+        return self.random.choice(candidates)
+
+
+class TwoChoices(Plain):
+    """The one of two, drawn at random, whose last report shows less work; own record where it has none."""
+
+    def choose(self, candidates):
+        two = [self.random.choice(candidates) for _ in range(2)]
+        return min(two, key=self._load)
+
+    def _load(self, worker):
+        report = self.report.get(worker)
+        return self.out[worker] if report is None or report.held is None else report.held
+
+
+class LeastOwn(Plain):
+    """One with the fewest own hand-offs out."""
+
+    def choose(self, candidates):
+        least = min(self.out[worker] for worker in candidates)
+        return self.random.choice([worker for worker in candidates if self.out[worker] == least])
+
+
+class Careless(LeastOwn):
+    """The same, and a cold worker, which has none out, is the best there is."""
+
+    minds_cold = False
+
+
+POLICIES = {
+    "module": Dispatcher,
+    "random": RandomChoice,
+    "two-choices": TwoChoices,
+    "least-own": LeastOwn,
+    "careless": Careless,
+}
--- /dev/null
+++ b/heronwinch/rehearsal/faults.py
@@ -0,0 +1,150 @@
+"""Faults planted in the program, one for each rule and more: if the judge does not see them, the judge is at
+fault.
+
+Each changes the program in memory, in a rehearsal alone, for as long as its context lasts.
+"""
+
+import contextlib
+
+from heronwinch import interface as it
+from heronwinch import policy
+from heronwinch.net import engine, listener, workers
+
+
+@contextlib.contextmanager
+def _changed(owner, name, new):
+    old = getattr(owner, name)
+    setattr(owner, name, new(old))
+    try:
+        yield
+    finally:
+        setattr(owner, name, old)
+
+
+def second_copy():
+    """Exclusive work goes again although it may have run."""
+
+    def new(old):
+        def may_go_again(self, wi):
+            return len(wi.hos) < self.terms.most_hand_offs and self.now < wi.expiry
+
+        return may_go_again
+
+    return _changed(policy.Dispatcher, "_may_go_again", new)
+
+
+def deferred_in_doubt():
+    """What may have run is deferred, as if a retry were harmless."""
+
+    def new(old):
+        return lambda self, wi: policy.Defer(wi.id, 0)
+
+    return _changed(policy.Dispatcher, "_giving_up", new)
+
+
+def dropped_answer():
+    """An answer is dropped when the connection to its worker is killed."""
+
+    def new(old):
+        def settle(self, item, number, worker, over, elapsed):
+            if over.outcome == it.Outcome.RESET and not item.ended:
+                item.alarm.cancel()
+                item.ended = True
+                client, item.client = item.client, None
+                client.item = None
+                client.writer.transport.abort()
+            old(self, item, number, worker, over, elapsed)
+
+        return settle
+
+    return _changed(engine.Engine, "settle", new)
+
+
+def held_back():
+    """An answer is kept back until long after the expiry."""
+
+    def new(old):
+        def say(self, status, body=b"", headers=(), close=False):
+            if status != 200 and body != b"late" and self.item is None and self.side.owed:
+                self.engine.loop.call_later(8.0, old, self, status, b"late", headers, close)
+            else:
+                old(self, status, body, headers, close)
+
+        return say
+
+    return _changed(listener.Client, "_say", new)
+
+
+def after_drain():
+    """A worker that is said to leave goes on being used."""
+
+    def new(old):
+        def enter(self, worker, entry):
+            standing = it.Standing.READY if entry.standing == it.Standing.DRAINING else entry.standing
+            old(self, worker, entry._replace(standing=standing))
+
+        return enter
+
+    return _changed(workers.Workers, "_enter", new)
+
+
+def overfed():
+    """The budget of cold workers is forgotten."""
+
+    def new(old):
+        return lambda self, worker, wi: True
+
+    return _changed(policy.Dispatcher, "_cold_may_take", new)
+
+
+def two_out():
+    """A hand-off that has no word yet is doubled."""
+
+    def new(old):
+        def start(self, item, number, worker, until, patience):
+            old(self, item, number, worker, until, patience)
+            if len(self.by_number) > 1 and not item.out > 1:
+                other = next(n for n in self.by_number if n != worker)
+                connection = self._connect(self.by_number[other], until)
+
+                async def again():
+                    with contextlib.suppress(workers.Unreachable):
+                        line = await connection
+                        line.writer.write(line.side.hand_off(item.job, 1.0))
+
+                self.engine.loop.create_task(again())
+
+        return start
+
+    return _changed(workers.Workers, "start", new)
+
+
+def wrong_result():
+    """A client gets a result that is not its own."""
+
+    def new(old):
+        return lambda self, result: old(self, b"somebody else's")
+
+    return _changed(listener.Client, "finish", new)
+
+
+FAULTS = {
+    "second-copy": second_copy,
+    "deferred-in-doubt": deferred_in_doubt,
+    "dropped-answer": dropped_answer,
+    "held-back": held_back,
+    "after-drain": after_drain,
+    "overfed": overfed,
+    "two-out": two_out,
+    "wrong-result": wrong_result,
+}
+EXPECTED = {  # the rule that each breaks
+    "second-copy": "twice",
+    "deferred-in-doubt": "twice",
+    "dropped-answer": "lost",
+    "held-back": "lost",
+    "after-drain": "drains",
+    "overfed": "cold",
+    "two-out": "twice",
+    "wrong-result": "lost",
+}
--- /dev/null
+++ b/heronwinch/rehearsal/ground/process.py
@@ -0,0 +1,223 @@
+"""A process of the virtual ground: an event loop of its own on the ground's clock, with descriptors, signals
+and files. It is run, paused, told signals and killed from outside."""
+
+import asyncio
+import contextlib
+from collections import deque
+
+from heronwinch.rehearsal.ground.files import Files
+from heronwinch.rehearsal.ground.guard import Unseeded
+from heronwinch.rehearsal.ground.kernel import EPOCH, SECOND
+
+MOST_FAULTS = 100  # kept of what went astray in a process
+
+
+class Process(asyncio.AbstractEventLoop):
+    def __init__(self, kernel, network, name, ip, descriptors=65536, files=None):
+        self.kernel, self.network, self.name, self.ip = kernel, network, name, ip
+        self.limit = descriptors
+        self.open = 0  # descriptors
+        self.ready = deque()
+        self.queued = False  # waits for its turn
+        self.paused = False
+        self.alive = True
+        self.tasks = {}  # in the order of their start
+        self.ends = {}  # its sockets, in the order of their making
+        self.listeners = {}
+        self.signals = {}
+        self.files = Files() if files is None else files
+        self.handler = None
+        self.faults = []  # what reached nobody
+        self.on_exit = []  # called once it has ended, however
+
+    # ---- seen from outside
+
+    def start(self, main):
+        """Runs a coroutine function of no arguments; the process ends with it."""
+
+        def begin():
+            self.create_task(main()).add_done_callback(self._ended)
+
+        self.kernel.within(self, begin)
+
+    def _ended(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            self._keep({"message": "the process ended with a fault", "exception": task.exception()})
+        self.kernel.at(self.kernel.now, self.kill)
+
+    def kill(self, quietly=False):
+        """Ends at once: its connections are reset, or stay open and silent where the machine vanishes."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.ready.clear()
+        for end in list(self.ends):
+            end.die(quietly)
+        for listener in list(self.listeners):
+            listener.die(quietly)
+        self.open = 0
+        self.files.crash()
+        # Left to the collector, coroutines would run their last lines at a time that no seed tells.
+        for task in list(self.tasks):
+            task._log_destroy_pending = False
+            with contextlib.suppress(BaseException):
+                task.get_coro().close()
+        self.tasks.clear()
+        for act in self.on_exit:
+            act()
+
+    def pause(self):
+        self.paused = True
+
+    def resume(self):
+        self.paused = False
+        if self.ready:
+            self._queue()
+
+    def signal(self, number):
+        if self.alive and number in self.signals:
+            act, args = self.signals[number]
+            self.put(asyncio.Handle(act, args, self))
+
+    # ---- its turns
+
+    def put(self, handle):
+        if self.alive:
+            self.ready.append(handle)
+            self._queue()
+
+    def _queue(self):
+        if not self.queued and not self.paused:
+            self.queued = True
+            self.kernel.wake(self)
+
+    def turn(self):
+        """All that is ready as the turn begins; what that makes ready is for the next."""
+        self.queued = False
+        ready = self.ready
+        if self.paused:
+            return 0
+        count = 0
+        for _ in range(len(ready)):
+            if not ready:
+                break  # it was killed
+            handle = ready.popleft()
+            if not handle._cancelled:
+                count += 1
+                handle._run()
+        if ready:
+            self._queue()
+        return count
+
+    # ---- an event loop
+
+    def time(self):
+        return self.kernel.now / SECOND
+
+    def call_soon(self, callback, *args, context=None):
+        handle = asyncio.Handle(callback, args, self, context)
+        if self.alive:
+            self.ready.append(handle)
+            if not self.queued:
+                self._queue()
+        return handle
+
+    call_soon_threadsafe = call_soon
+
+    def call_later(self, delay, callback, *args, context=None):
+        return self.call_at(self.time() + delay, callback, *args, context=context)
+
+    def call_at(self, when, callback, *args, context=None):
+        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        if self.alive:
+            handle._scheduled = True
+            self.kernel.timer(round(when * SECOND), handle, self)
+        return handle
+
+    def _timer_handle_cancelled(self, handle):
+        if handle._scheduled:
+            self.kernel.timer_cancelled()
+
+    def create_future(self):
+        return asyncio.Future(loop=self)
+
+    def create_task(self, coro, *, name=None, context=None):
+        task = asyncio.Task(coro, loop=self, name=name, context=context)
+        if self.alive:
+            self.tasks[task] = None
+            task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task):
+        self.tasks.pop(task, None)
+
+    def get_debug(self):
+        return False
+
+    def is_running(self):
+        return self.alive
+
+    def is_closed(self):
+        return not self.alive
+
+    def set_exception_handler(self, handler):
+        self.handler = handler
+
+    def call_exception_handler(self, context):
+        if not self.alive:
+            return
+        if self.handler is not None:
+            self.handler(self, context)
+        else:
+            self._keep(context)
+
+    def _keep(self, context):
+        if len(self.faults) < MOST_FAULTS:
+            self.faults.append(context)
+
+    def add_signal_handler(self, number, callback, *args):
+        self.signals[number] = callback, args
+
+    def remove_signal_handler(self, number):
+        return self.signals.pop(number, None) is not None
+
+    def run_in_executor(self, executor, func, *args):
+        raise Unseeded("threads: loop.run_in_executor")
+
+    async def getaddrinfo(self, *_, **__):
+        raise Unseeded("name look-ups: loop.getaddrinfo")
+
+    async def create_connection(self, protocol_factory, host=None, port=None, **_):
+        return await self.network.connect(self, protocol_factory, (host, port))
+
+    async def create_server(self, protocol_factory, host=None, port=None, *, sock=None, backlog=100, **_):
+        if sock is None:
+            sock = self.network.listening(self, host or self.ip, port)
+            sock.listen(backlog)
+        return sock.serve(protocol_factory, backlog)
+
+
+class VirtualMachine:
+    """What a program asks of its machine, as net/machine.py has it, on the ground's clock and network."""
+
+    def __init__(self, process):
+        self.process = process
+
+    def now(self):
+        return EPOCH + self.process.kernel.now
+
+    def age(self, writer):
+        milliseconds = (self.process.kernel.now - writer.transport.end.heard) // 1_000_000
+        return milliseconds * 1_000_000
+
+    def is_quiet(self, writer):
+        return writer.transport.is_quiet()
+
+    def forget_unsent(self, writer):
+        writer.transport.purges = True
+
+    def listening(self, host, port):
+        return self.process.network.listening(self.process, host, port)
+
+    def descriptors(self):
+        return self.process.limit
--- /dev/null
+++ b/heronwinch/rehearsal/script.py
@@ -0,0 +1,529 @@
+"""A rehearsal as a script: the fleet, the dispatchers, the traffic and a timeline of troubles, in TOML.
+
+Everything is checked before anything runs; whatever is wrong is one line with the place and the mend.
+"""
+
+import difflib
+import re
+import tomllib
+from typing import Annotated, Literal
+
+import msgspec
+
+from heronwinch.interface import SECOND, Effect, Group
+from heronwinch.rehearsal.models.traffic import Flow, Kind
+from heronwinch.rehearsal.models.worker import Shape
+from heronwinch.rehearsal.spans import Span, as_span, as_text
+
+FORMAT = 1
+LONGEST = 24 * 3600 * SECOND
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=20_000)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+MANY = 100_000  # more work items a second than this are a mistake
+
+EFFECTS = {"rerunnable": Effect.RERUNNABLE, "ticketed": Effect.TICKETED, "exclusive": Effect.EXCLUSIVE}
+GROUPS = {"all": Group.ALL, "area": Group.AREA, "pod": Group.POD}
+
+
+class ScriptError(ValueError):
+    """A script that cannot be played: one line that names file, place and mend."""
+
+
+class Part(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    pass
+
+
+class WorkerKind(Part):
+    """A kind of worker, and its share of the fleet."""
+
+    name: str
+    share: Positive = 1.0
+    speed: Positive = 1.0
+    slots: Annotated[float, msgspec.Meta(ge=1)] = 0.0  # 0: as the fleet
+
+
+class Fleet(Part):
+    workers: Count = 10
+    slots: Annotated[float, msgspec.Meta(ge=1, le=10_000)] = 4.0
+    memory: float = 0.0  # 0: as much as is asked
+    queue: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 8
+    areas: list[str] = msgspec.field(default_factory=lambda: ["a"])
+    pods: Count = 1
+    kinds: list[WorkerKind] = []
+    cold_share: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.15
+    warm_up: Span = Span(20 * SECOND)
+    push_multiple: Positive = 3.0
+    push_window: Span = Span(2 * SECOND)
+    tells_start: bool = True
+    progress: Span = Span(0)
+    cancel_stops: bool = True
+    pause_every: Span = Span(0)
+    pause_for: Span = Span(0)
+    reports: Literal["answers", "none"] = "answers"
+    report_every: Span = Span(0)
+    report_delay: Span = Span(0)
+    report_noise: Share = 0.0
+    probes: bool = True
+    connections: Count = 10_000
+    idle: Span = Span(15 * SECOND)
+
+
+class Dispatchers(Part):
+    count: Annotated[int, msgspec.Meta(ge=1, le=200)] = 1
+    sockets: Annotated[int, msgspec.Meta(ge=64, le=65_536)] = 1024
+    memory_mb: Annotated[int, msgspec.Meta(ge=32)] = 192
+    tick: Span = Span(4_000_000)
+    most_hand_offs: Annotated[int, msgspec.Meta(ge=1, le=100)] = 4
+    drain_grace: Span = Span(500_000_000)
+    answer_slack: Span = Span(16_000_000)
+    connect_timeout: Span = Span(250_000_000)
+    may_cancel: bool = True
+    come_back: bool = True
+    notice: Span = Span(2 * SECOND)  # after which the front knows that one has died
+
+
+class Discovery(Part):
+    pushed: bool = True
+    lag: Span = Span(50_000_000)
+    work: Span = Span(1_000_000)  # of one call
+    longest: Span = Span(2 * SECOND)  # that a call waits for its turn
+
+
+class Network(Part):
+    delay: Span = Span(200_000)
+    jitter: Span = Span(100_000)
+
+
+class CategoryRow(Part):
+    name: Annotated[str, msgspec.Meta(pattern="^[a-z][a-z0-9-]*$")]
+    effect: Literal["rerunnable", "ticketed", "exclusive"] = "rerunnable"
+    group: Literal["all", "area", "pod"] = "all"
+    window: Span = Span(0)
+    due: Span = Span(SECOND)
+    stretch: Annotated[float, msgspec.Meta(ge=0)] = 1.25
+    expiry: Span = Span(5 * SECOND)
+    credit: Positive = 1.0
+    late_credit: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0  # this part of its credit
+    running: Span = Span(100_000_000)
+    shape: Literal["lognormal", "exponential", "constant", "pareto"] = "lognormal"
+    spread: Annotated[float, msgspec.Meta(ge=0, le=5)] = 1.0
+    slots: Annotated[float, msgspec.Meta(ge=1)] = 1.0
+    memory: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
+class FlowRow(Part):
+    category: str
+    rate: Annotated[float, msgspec.Meta(gt=0, le=MANY)]
+    pattern: Literal["steady", "bursty", "swings"] = "steady"
+    period: Span = Span(10 * SECOND)
+    height: Annotated[float, msgspec.Meta(gt=0, le=100)] = 3.0
+    account: str = ""
+    keys: Count = 1000
+    retries: Annotated[int, msgspec.Meta(ge=0, le=100)] = 2
+    wait: bool = True
+    impatient: Share = 0.0
+    size: Annotated[int, msgspec.Meta(ge=0, le=60_000)] = 64
+    begins: Span = Span(0)
+    ends: Span = Span(0)
+
+
+class Trouble(Part):
+    """One trouble on the timeline; which further words it takes stands in TROUBLES."""
+
+    at: Span
+    what: str
+    lasts: Span = Span(0)
+    share: Share = 0.0
+    count: Annotated[int, msgspec.Meta(ge=0)] = 0
+    workers: list[str] = []
+    dispatchers: list[str] = []
+    by: Span = Span(0)
+    factor: Annotated[float, msgspec.Meta(ge=0, le=100)] = 0.0
+    rate: Annotated[float, msgspec.Meta(ge=0, le=10_000)] = 0.0
+
+
+class Told(Part):
+    """What a kind of trouble takes: whom it strikes, which words it needs, which it may have."""
+
+    strikes: str  # workers, dispatchers, both or nobody
+    needs: tuple[str, ...]
+    may: tuple[str, ...] = ()
+    loopback: bool = True  # whether it can be played on real sockets
+    says: str = ""
+
+
+TROUBLES = {
+    "swallow": Told("workers", ("lasts",), says="takes work and never answers it"),
+    "mute": Told("workers", ("lasts",), says="accepts connections and says nothing at all"),
+    "fail": Told("workers", ("lasts",), says="answers 500 at once"),
+    "decline": Told("workers", ("lasts",), says="turns all work away"),
+    "garble": Told("workers", ("lasts",), says="answers with what is no answer"),
+    "late-reports": Told("workers", ("lasts", "by"), says="its load reports are so old"),
+    "pause": Told("workers", ("lasts",), says="stands still, process and all"),
+    "crowd": Told("workers", ("lasts", "factor"), says="another program leaves it this part of its speed"),
+    "crash": Told("workers", (), ("lasts",), says="dies, and is back cold after that long, or stays down"),
+    "vanish": Told("workers", ("lasts",), (), False, "its machine says nothing; back cold after that long"),
+    "drain": Told("workers", ("lasts",), says="is said to leave, leaves at the end, comes back as a new one"),
+    "shrink": Told("workers", (), says="is said to leave, leaves after the grace, stays away"),
+    "list-outage": Told("", ("lasts",), says="discovery answers nothing"),
+    "list-lag": Told("", ("lasts", "by"), says="changes of the list are seen so much later"),
+    "list-move": Told("dispatchers", (), says="discovery is elsewhere, told by SIGHUP"),
+    "kill": Told("dispatchers", ("lasts",), says="is killed and started again after that long"),
+    "stop": Told("dispatchers", ("lasts",), says="is stopped in order and started again after that long"),
+    "hold": Told("dispatchers", ("lasts",), (), False, "its process stands still"),
+    "cut": Told("both", ("lasts",), (), False, "nothing passes between these workers and dispatchers"),
+    "slow-net": Told("", ("lasts", "factor"), (), False, "delays on the network are so many times as long"),
+    "resets": Told("", ("lasts", "rate"), (), False, "so many connections a second are reset on the way"),
+    "burst": Told("", ("lasts", "factor"), says="so many times as much work comes"),
+    "rude": Told("", ("lasts", "rate"), says="so many bad clients a second"),
+}
+WORDS = ("share", "count", "workers", "dispatchers", "by", "factor", "rate", "lasts")
+
+
+class Script(Part):
+    format: int
+    name: Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9._-]*$")]
+    seconds: Span
+    categories: Annotated[list[CategoryRow], msgspec.Meta(min_length=1, max_length=64)]
+    traffic: Annotated[list[FlowRow], msgspec.Meta(min_length=1, max_length=256)]
+    about: str = ""
+    fleet: Fleet = msgspec.field(default_factory=Fleet)
+    dispatchers: Dispatchers = msgspec.field(default_factory=Dispatchers)
+    discovery: Discovery = msgspec.field(default_factory=Discovery)
+    network: Network = msgspec.field(default_factory=Network)
+    troubles: list[Trouble] = []
+
+
+# ---- reading and writing
+
+
+def _hook(kind, value):
+    if kind is Span:
+        return as_span(value)
+    raise NotImplementedError(kind)
+
+
+def read_script(path):
+    """The script in a file; raises ScriptError."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as fault:
+        raise ScriptError(f"{path}: cannot be read: {fault}") from None
+    return parse(text, path)
+
+
+def parse(text, path="script"):
+    try:
+        tree = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as fault:
+        raise ScriptError(f"{path}: no TOML: {fault}") from None
+    if tree.get("format") != FORMAT:
+        raise ScriptError(f"{path}: format: {tree.get('format', 'missing')}; write format = {FORMAT}")
+    try:
+        script = msgspec.convert(tree, Script, dec_hook=_hook)
+    except msgspec.ValidationError as fault:
+        raise ScriptError(f"{path}{_place(text, str(fault))}") from None
+    problem = next(_problems(script), None)
+    if problem is not None:
+        at, says = problem
+        raise ScriptError(f"{path}:{_line(text, at)}{at}: {says}")
+    return script
+
+
+def _place(text, fault):
+    """msgspec's words with the path first, the line where it can be found, and the nearest word known."""
+    says, _, at = fault.partition(" - at `$")
+    at = at.rstrip("`").lstrip(".")
+    unknown = re.search(r"unknown field `([^`]*)`", says)
+    if unknown:
+        word = unknown[1]
+        known = [field.name for part in Part.__subclasses__() for field in msgspec.structs.fields(part)]
+        near = difflib.get_close_matches(word, known, 1)
+        mend = f"; did you mean {near[0]}?" if near else "; take it out"
+        at = f"{at}.{word}" if at else word
+        return f":{_line(text, at)}{at}: nothing is called so{mend}"
+    return f":{_line(text, at)}{at or 'script'}: {says}"
+
+
+def _line(text, at):
+    """The line of a place such as troubles[1].what as `12: `, empty where it is not found."""
+    parts = re.findall(r"([A-Za-z_-]+)(?:\[(\d+)\])?", at)
+    lines = text.splitlines()
+    begin = 0
+    for depth, (name, index) in enumerate(parts):
+        if index:
+            heads = [n for n, line in enumerate(lines) if re.match(rf"\s*\[\[\s*{name}\s*\]\]", line)]
+            if int(index) >= len(heads):
+                break
+            begin = heads[int(index)]
+        elif depth + 1 < len(parts) or any(re.match(rf"\s*\[{name}\]", line) for line in lines):
+            begin = next((n for n, line in enumerate(lines) if re.match(rf"\s*\[{name}\]", line)), begin)
+        else:
+            for n in range(begin, len(lines)):
+                if n > begin and lines[n].lstrip().startswith("["):
+                    break
+                if re.match(rf"\s*{name}\s*=", lines[n]):
+                    return f"{n + 1}: "
+    return f"{begin + 1}: " if begin else " "
+
+
+def write_script(script):
+    """The script as TOML, which gives the same script again."""
+    import tomli_w
+
+    tree = msgspec.to_builtins(script, enc_hook=lambda value: as_text(value), builtin_types=())
+    return tomli_w.dumps(_spans(script, tree))
+
+
+def _spans(part, tree):
+    """Spans are integers to msgspec: written with their units again."""
+    for name, value in list(tree.items()):
+        held = getattr(part, name)
+        if isinstance(held, Span):
+            tree[name] = as_text(held)
+        elif isinstance(held, Part):
+            tree[name] = _spans(held, value)
+        elif isinstance(held, list) and held and isinstance(held[0], Part):
+            tree[name] = [_spans(each, row) for each, row in zip(held, value, strict=True)]
+    return tree
+
+
+# ---- what must hold beyond the types
+
+
+def _problems(script):
+    """(place, what is wrong and the mend), the first first."""
+    if not SECOND // 10 <= script.seconds <= LONGEST:
+        yield "seconds", "a run takes 100ms to 24h"
+    names = [row.name for row in script.categories]
+    for i, row in enumerate(script.categories):
+        at = f"categories[{i}]"
+        if names.index(row.name) != i:
+            yield f"{at}.name", f"{row.name} is there already; name each category once"
+        if row.effect == "ticketed" and not row.window:
+            yield (
+                f"{at}.window",
+                'ticketed work needs the window in which a repeat is dropped, as window = "10s"',
+            )
+        if row.effect != "ticketed" and row.window:
+            yield f"{at}.window", f"{row.effect} work has no window; take it out"
+        if row.expiry <= 0 or row.due <= 0:
+            yield f"{at}.expiry", "due and expiry are longer than nothing"
+        if row.due > row.expiry:
+            yield f"{at}.due", f"it is due after its expiry of {as_text(row.expiry)}; make it shorter"
+        if row.running <= 0:
+            yield f"{at}.running", "running is longer than nothing"
+        if row.slots > script.fleet.slots:
+            yield f"{at}.slots", f"no worker has more than {script.fleet.slots:g} slots"
+        if script.fleet.memory and row.memory > script.fleet.memory:
+            yield f"{at}.memory", f"no worker has more than {script.fleet.memory:g}"
+    for i, row in enumerate(script.traffic):
+        if row.category not in names:
+            near = difflib.get_close_matches(row.category, names, 1)
+            yield (
+                f"traffic[{i}].category",
+                f"no category is called {row.category}"
+                + (f"; did you mean {near[0]}?" if near else f"; there are {', '.join(names)}"),
+            )
+        if row.period <= 0:
+            yield f"traffic[{i}].period", "a period is longer than nothing"
+        if row.ends and row.ends <= row.begins:
+            yield f"traffic[{i}].ends", "it ends before it begins"
+    if not script.fleet.areas:
+        yield "fleet.areas", "name one area at least"
+    if script.fleet.pause_every and not script.fleet.pause_for:
+        yield "fleet.pause_for", 'say how long a pause is, as pause_for = "200ms"'
+    workers, dispatchers = worker_names(script), dispatcher_names(script)
+    for i, trouble in enumerate(script.troubles):
+        yield from _trouble_problems(script, f"troubles[{i}]", trouble, workers, dispatchers)
+
+
+def _trouble_problems(script, at, trouble, workers, dispatchers):
+    told = TROUBLES.get(trouble.what)
+    if told is None:
+        near = difflib.get_close_matches(trouble.what, TROUBLES, 1)
+        yield (
+            f"{at}.what",
+            f"no trouble is called {trouble.what}"
+            + (f"; did you mean {near[0]}?" if near else f"; there are {', '.join(TROUBLES)}"),
+        )
+        return
+    if trouble.at >= script.seconds:
+        yield f"{at}.at", f"the run is over by then; it takes {as_text(script.seconds)}"
+    allowed = {*told.needs, *told.may}
+    if told.strikes in ("workers", "both"):
+        allowed |= {"share", "count", "workers"}
+    if told.strikes in ("dispatchers", "both"):
+        allowed |= {"dispatchers"} | ({"count", "share"} if told.strikes == "dispatchers" else set())
+    for word in WORDS:
+        if getattr(trouble, word) and word not in allowed:
+            yield f"{at}.{word}", f"{trouble.what} takes no {word}; take it out"
+    for word in told.needs:
+        if not getattr(trouble, word):
+            yield f"{at}.{word}", f"{trouble.what} needs {word}"
+    if trouble.what == "crowd" and trouble.factor > 1:
+        yield f"{at}.factor", "crowd leaves a part of the speed, 0 to 1"
+    names, listed, word = (
+        (dispatchers, trouble.dispatchers, "dispatchers")
+        if told.strikes == "dispatchers"
+        else (workers, trouble.workers, "workers")
+    )
+    ways = sum(map(bool, (trouble.share, trouble.count, listed)))
+    if told.strikes and ways != 1:
+        yield f"{at}.{word}", f"say whom it strikes with one of share, count or {word}"
+    if trouble.count > len(names):
+        yield f"{at}.count", f"there are only {len(names)} {word}"
+    for listed, known, word in (
+        (trouble.workers, workers, "workers"),
+        (trouble.dispatchers, dispatchers, "dispatchers"),
+    ):
+        for name in listed:
+            if name not in known:
+                yield f"{at}.{word}", f"nobody is called {name}; there are {known[0]} to {known[-1]}"
+
+
+# ---- what the script says, in the terms of the models
+
+
+def worker_names(script):
+    return [f"w{i}" for i in range(script.fleet.workers)]
+
+
+def dispatcher_names(script):
+    return [f"d{i}" for i in range(script.dispatchers.count)]
+
+
+def shapes(script):
+    """The shape of each worker by its name; kinds are dealt out in turn by their shares."""
+    fleet = script.fleet
+    kinds = fleet.kinds or [WorkerKind("std")]
+    whole = sum(kind.share for kind in kinds)
+    given = dict.fromkeys(range(len(kinds)), 0)
+    dealt = {}
+    for i, name in enumerate(worker_names(script)):
+        k = max(given, key=lambda k: kinds[k].share / whole * (i + 1) - given[k])
+        given[k] += 1
+        kind = kinds[k]
+        dealt[name] = Shape(
+            slots=kind.slots or fleet.slots,
+            memory=fleet.memory or float("inf"),
+            queue=fleet.queue,
+            speed=kind.speed,
+            cold_share=fleet.cold_share,
+            warm_up=int(fleet.warm_up),
+            push_multiple=fleet.push_multiple,
+            push_window=int(fleet.push_window),
+            progress_every=int(fleet.progress),
+            tells_start=fleet.tells_start,
+            cancel_stops=fleet.cancel_stops,
+            pause_every=int(fleet.pause_every),
+            pause_for=int(fleet.pause_for),
+            report_every=int(fleet.report_every),
+            report_noise=fleet.report_noise,
+            area=fleet.areas[i % len(fleet.areas)],
+            kind=kind.name,
+            pod=i % fleet.pods,
+        )
+    return dealt
+
+
+def kinds(script):
+    return {
+        row.name: Kind(
+            row.name,
+            EFFECTS[row.effect],
+            int(row.window),
+            int(row.due),
+            row.stretch,
+            int(row.expiry),
+            row.credit,
+            row.late_credit,
+            int(row.running),
+            row.shape,
+            row.spread,
+            row.slots,
+            row.memory,
+        )
+        for row in script.categories
+    }
+
+
+def flows(script):
+    return [
+        Flow(
+            row.category,
+            row.rate,
+            row.pattern,
+            int(row.period),
+            row.height,
+            row.account,
+            row.keys,
+            row.retries,
+            row.wait,
+            row.impatient,
+            row.size,
+            int(row.begins),
+            int(row.ends),
+        )
+        for row in script.traffic
+    ]
+
+
+def settings(script, dispatcher):
+    """The settings of a dispatcher in the operators' form, as their configuration holds them."""
+    fleet, own = script.fleet, script.dispatchers
+    i = int(dispatcher[1:])
+    words = {"rerunnable": "retryable", "ticketed": "dedup", "exclusive": "fragile"}
+    groups = {"all": "all", "area": "zone", "pod": "cell"}
+    return {
+        "me": i,
+        "siblings": own.count,
+        "tick_ns": int(own.tick),
+        "areas": fleet.areas,
+        "realms": [],
+        "az": fleet.areas[i % len(fleet.areas)],
+        "models": [kind.name for kind in fleet.kinds] or ["std"],
+        "discovery": "pushed" if script.discovery.pushed else "on_request",
+        "excess_credit": 1.0,
+        "categories": [
+            {
+                "name": row.name,
+                "effect": words[row.effect],
+                "group": groups[row.group],
+                "window_ns": int(row.window),
+                "due_time_ns": int(row.due),
+                "expiry_ns": int(row.expiry),
+                "credit": row.credit,
+                "late_credit": row.late_credit,
+            }
+            for row in script.categories
+        ],
+        "family_info": {
+            "class_stretch": [row.stretch for row in script.categories],
+            "progress_ns": int(fleet.progress),
+            "tells_start": fleet.tells_start,
+        },
+        "invariants": {
+            "ask_every_ns": 10 * SECOND,
+            "drain_grace_ns": int(own.drain_grace),
+            "answer_slack_ns": int(own.answer_slack),
+            "start_capacity": fleet.cold_share,
+            "warm_up_ns": int(fleet.warm_up),
+            "overload_factor": fleet.push_multiple,
+            "tip_after_ns": int(fleet.push_window),
+        },
+        "limits": {
+            "most_hand_offs": own.most_hand_offs,
+            "parallel_tries": False,
+            "may_cancel": own.may_cancel,
+            "probes": fleet.probes,
+            "peers": False,
+            "retry_after": own.come_back,
+            "max_retry_after_ns": 2 * SECOND,
+            "dial_timeout_ns": int(own.connect_timeout),
+            "conn_idle_ns": int(fleet.idle),
+        },
+        "load_info": {"how": fleet.reports, "fields": ["x0", "x1", "queue", "inflight"]},
+    }
--- /dev/null
+++ b/heronwinch/rehearsal/standins/__init__.py
@@ -0,0 +1,2 @@
+"""The models on connections: drivers that speak the operators' protocol, on loopback sockets or the virtual
+ground alike. They decide nothing."""
--- /dev/null
+++ b/heronwinch/rehearsal/standins/rude.py
@@ -0,0 +1,77 @@
+"""Clients that send what can't be read, too much, or nothing. Each is owed an error or a close, and no
+result."""
+
+import asyncio
+
+HEAD = b"POST /%s HTTP/1.1\r\nHost: a\r\n"
+SOON = 3_000_000_000  # nanoseconds in which such a client is owed an error or a close
+
+
+def _scripts(category, other):
+    head = HEAD % category
+    named = head + b"Req-Id: %(id)s\r\nReq-Deadline: 1.0\r\n"
+    return {
+        "garbage": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03not http\r\n\r\n",
+        "endless head": head + b"X: " + b"y" * 40_000,
+        "wrong length": named + b"Content-Length: 4\r\n\r\nfar more than four",
+        "negative length": named + b"Content-Length: -1\r\n\r\n",
+        "huge length": named + b"Content-Length: 60000000\r\n\r\n" + b"z" * 100_000,
+        "two lengths": named + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "hidden request": named + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + head,
+        "no such category": HEAD % b"unheard-of" + b"Req-Id: %(id)s\r\nContent-Length: 0\r\n\r\n",
+        "deadline no number": head + b"Req-Id: %(id)s\r\nReq-Deadline: soon\r\nContent-Length: 0\r\n\r\n",
+        "negative deadline": head + b"Req-Id: %(id)s\r\nReq-Deadline: -5\r\nContent-Length: 0\r\n\r\n",
+        "no id": head + b"Req-Deadline: 1.0\r\nContent-Length: 0\r\n\r\n",
+        "bad id": head + b"Req-Id: a b\r\nReq-Deadline: 1.0\r\nContent-Length: 0\r\n\r\n",
+        "two at once": (named + b"Content-Length: 2\r\n\r\nhi") * 2,
+        "wrong method": b"DELETE /%s HTTP/1.1\r\nHost: a\r\n\r\n" % category,
+        "half a request": named + b"Content-Length: 40\r\n\r\nhalf",
+        "nothing": b"",
+    }
+
+
+class Rude:
+    """One such client in the ledger."""
+
+    __slots__ = ("kind", "dispatcher", "id", "begun", "over", "status", "unsent")
+
+    def __init__(self, kind, dispatcher, id, begun):
+        self.kind, self.dispatcher, self.id, self.begun = kind, dispatcher, id, begun
+        self.over = self.status = 0
+        self.unsent = False
+
+
+class RudeClients:
+    def __init__(self, clock, random, front, ledger, category):
+        self.clock, self.random, self.front, self.ledger = clock, random, front, ledger
+        self.scripts = _scripts(category.encode(), category.encode())
+        self.until = 0
+
+    async def play(self, rate, until):
+        while self.clock.now() < until:
+            await asyncio.sleep(self.random.expovariate(rate))
+            asyncio.create_task(self._one())
+
+    async def _one(self):
+        dispatcher = self.front.pick()
+        if dispatcher is None:
+            return
+        kind = self.random.choice(list(self.scripts))
+        id = f"rude{self.random.getrandbits(64):016x}"
+        rude = Rude(kind, dispatcher, id, self.clock.now())
+        self.ledger.append(rude)
+        try:
+            async with asyncio.timeout(2 * SOON / 1e9):
+                reader, writer = await asyncio.open_connection(*self.front.address(dispatcher))
+                try:
+                    rude.begun = self.clock.now()
+                    writer.write(self.scripts[kind].replace(b"%(id)s", id.encode()))
+                    words = (await reader.readline()).split()
+                    rude.status = int(words[1]) if len(words) > 1 and words[1].isdigit() else 0
+                    rude.over = self.clock.now()
+                finally:
+                    writer.transport.abort()
+        except TimeoutError:
+            pass
+        except OSError:
+            rude.over = self.clock.now()  # reset, or never let in: it is rid of it
--- /dev/null
+++ b/heronwinch/rehearsal/standins/worker.py
@@ -0,0 +1,176 @@
+"""A worker model on connections, speaking the operators' protocol."""
+
+import json
+from math import inf
+
+from heronwinch.interface import SECOND
+from heronwinch.rehearsal.models.worker import (
+    DECLINED,
+    DONE,
+    FAILED,
+    LOST,
+    PROGRESS,
+    RETURNED,
+    STARTED,
+    TAKEN,
+    Job,
+)
+from heronwinch.rehearsal.standins.http import HttpServer
+
+GARBAGE = (
+    b"HTTP/1.1 2 nothing\r\n\r\n",
+    b"\x00\xff\x00\xff",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{]\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+)
+
+
+class WorkerServer(HttpServer):
+    """`kinds` gives what is known of a category by its name; `fell` is called when it falls over."""
+
+    def __init__(
+        self, model, clock, kinds, reports=True, probes=True, most=1 << 30, idle=0, fell=lambda: None
+    ):
+        super().__init__(clock, most, idle)
+        self.model, self.kinds, self.reports, self.probes, self.fell = model, kinds, reports, probes, fell
+        self.exchanges = {}  # run -> its exchange
+        self.later = []  # exchanges that came in a pause
+        self.timer = None
+        self.timer_at = inf
+        self.requests = 0
+        self.forged = []  # what came in no form that a client sends
+
+    def load(self):
+        return self.model.report(self.clock.now())
+
+    def answer(self, exchange):
+        if self.clock.now() < self.model.paused_until:
+            self.later.append(exchange)
+        elif exchange.request.method == b"GET":
+            self._probe(exchange)
+        else:
+            self._offer(exchange)
+        self.pump()
+
+    def _probe(self, exchange):
+        path = exchange.request.target
+        if self.model.suffers("mute"):
+            return
+        if not self.probes or path not in (b"/-/load", b"/-/healthy"):
+            exchange.whole(404)
+            return
+        text = ",".join(f"{name}={figure}" for name, figure in self.load().items())
+        exchange.whole(
+            503 if self.model.draining else 200, text.encode() if self.reports and path == b"/-/load" else b""
+        )
+
+    def _offer(self, exchange):
+        headers = exchange.headers
+        self.requests += 1
+        now = self.clock.now()
+        try:
+            id = headers[b"req-id"].decode()
+            name = exchange.request.target.decode().partition("?")[0].strip("/").split("/")[0]
+            kind, asks = self.kinds[name], json.loads(exchange.body)
+            seconds = float(headers.get(b"req-deadline", b"3600"))
+            job = Job(
+                id,
+                name,
+                kind.effect,
+                headers.get(b"idempotency-key", b"").decode(),
+                kind.window,
+                int(asks["work"]),
+                float(asks.get("slots", 1)),
+                float(asks.get("memory", 0)),
+                now + int(seconds * SECOND),
+                kind.running,
+            )
+        except (KeyError, ValueError, TypeError) as fault:
+            self.forged.append(
+                (now, exchange.request.target.decode("latin-1"), f"{type(fault).__name__}: {fault}")
+            )
+            exchange.whole(404 if b"req-id" not in headers else 400)
+            return
+        if self.model.suffers("garble"):
+            run = self.model.offer(now, job, exchange.first_byte)
+            self.model.news = [news for news in self.model.news if news[0] is not run]
+            run.left = now
+            exchange.garbage(GARBAGE[run.number % len(GARBAGE)])
+            exchange.reset()
+            return
+        exchange.tag = run = self.model.offer(now, job, exchange.first_byte)
+        self.exchanges[run] = exchange
+
+    def gone(self, exchange):
+        run = exchange.tag
+        if run is not None:
+            self.exchanges.pop(run, None)
+            run.left = self.clock.now()
+            self.model.cancel(self.clock.now(), run)
+            self.pump()
+        elif exchange in self.later:
+            self.later.remove(exchange)
+
+    # ---- what the model has to say
+
+    def pump(self):
+        """Tells what has happened, and sees to it that the next is not missed."""
+        model, now = self.model, self.clock.now()
+        model.advance(now)
+        if self.later and now >= model.paused_until:
+            later, self.later = self.later, []
+            for exchange in later:
+                if not exchange.over:
+                    self.answer(exchange)
+            model.advance(now)
+        news, model.news = model.news, []
+        for run, what, figure in news:
+            exchange = self.exchanges.get(run)
+            if exchange is not None:
+                self._tell(run, exchange, what, figure)
+        if model.fallen:
+            self.fell()
+            return
+        when = model.next_at()
+        if self.later:
+            when = min(when, model.paused_until)
+        self._arm(when)
+
+    def _arm(self, when):
+        if when == self.timer_at:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer, self.timer_at = None, when
+        if when < inf:
+            self.timer = self.loop.call_later(max(0, when - self.clock.now()) / SECOND, self._rang)
+
+    def _rang(self):
+        self.timer, self.timer_at = None, inf
+        self.pump()
+
+    def _tell(self, run, exchange, what, figure):
+        told = {"id": run.job.id, "from": self.model.name}
+        if what == TAKEN:
+            exchange.chunked()
+        elif what == STARTED:
+            exchange.line(**told, state="started")
+        elif what == PROGRESS:
+            exchange.line(**told, state="running", share=figure)
+        elif what == DECLINED:
+            del self.exchanges[run]
+            headers = [(b"Srv-Declined", b"1")]
+            if self.reports:
+                text = ",".join(f"{name}={value}" for name, value in self.load().items())
+                headers.append((b"Srv-Load", text.encode()))
+            exchange.whole(503, b"", *headers)
+        elif what == FAILED and run.begun == run.came:
+            del self.exchanges[run]
+            exchange.whole(500)
+        else:
+            del self.exchanges[run]
+            state = {DONE: "done", FAILED: "failed", RETURNED: "returned", LOST: "lost"}[what]
+            load = {"load": self.load()} if self.reports else {}
+            result = {"result": run.result} if what == DONE else {}
+            exchange.line(**told, state=state, **load, **result)
+            exchange.end()
--- /dev/null
+++ b/heronwinch/rehearsal/troubles.py
@@ -0,0 +1,264 @@
+"""The troubles of a script, each begun and ended at its time. Troubles overlap as they like."""
+
+from heronwinch.interface import SECOND
+from heronwinch.rehearsal import script as scripts
+
+AFTER_GRACE = SECOND  # beyond the grace at which a worker that shrinks away ends
+MODES = ("swallow", "mute", "fail", "decline", "garble")
+
+
+class Timeline:
+    def __init__(self, stage):
+        self.stage = stage
+        self.acting = {}  # worker -> what a new life of it suffers from its start
+
+    def start(self, begins, spawn):
+        self.spawn = spawn
+        for i, trouble in enumerate(self.stage.script.troubles):
+            delay = begins + int(trouble.at) - self.stage.now()
+            self.stage.after(max(0, delay), self._begin, trouble, self.stage.random("trouble", i))
+
+    def _begin(self, trouble, random):
+        act = getattr(self, "_" + trouble.what.replace("-", "_"))
+        told = scripts.TROUBLES[trouble.what]
+        if told.strikes == "workers":
+            for place in self._targets(trouble, random, self.stage.workers, trouble.workers):
+                act(trouble, place)
+        elif told.strikes == "dispatchers":
+            for place in self._targets(trouble, random, self.stage.dispatchers, trouble.dispatchers):
+                act(trouble, place)
+        else:
+            act(trouble, random)
+
+    def _targets(self, trouble, random, places, named):
+        if named:
+            return [places[name] for name in named]
+        count = trouble.count or max(1, round(trouble.share * len(places)))
+        return [
+            places[name] for name in sorted(random.sample(sorted(places), count), key=lambda n: int(n[1:]))
+        ]
+
+    def _later(self, delay, act, *args):
+        self.stage.after(int(delay), act, *args)
+
+    # ---- workers
+
+    def _mode(self, trouble, place):
+        """Whatever lives in its place while the trouble acts has it."""
+
+        def suffer(model):
+            model.begin(trouble.what)
+
+        def end():
+            self.acting[place.name].remove(suffer)
+            if place.is_up and place.model.faults.get(trouble.what):
+                place.model.cease(trouble.what)
+
+        self.acting.setdefault(place.name, []).append(suffer)
+        if place.is_up:
+            suffer(place.model)
+        self._later(trouble.lasts, end)
+
+    _swallow = _mute = _fail = _decline = _garble = _mode
+
+    def _late_reports(self, trouble, place):
+        def suffer(model):
+            model.delays.append(int(trouble.by))
+
+        def end():
+            self.acting[place.name].remove(suffer)
+            if place.is_up and int(trouble.by) in place.model.delays:
+                place.model.delays.remove(int(trouble.by))
+
+        self.acting.setdefault(place.name, []).append(suffer)
+        if place.is_up:
+            suffer(place.model)
+        self._later(trouble.lasts, end)
+
+    def _pause(self, trouble, place):
+        if place.is_up:
+            now = self.stage.now()
+            place.model.pause(now, now + int(trouble.lasts))
+            self.stage.ground.within_worker(place.name, place.server.pump)
+
+    def _crowd(self, trouble, place):
+        factor = trouble.factor
+        if not place.is_up:
+            return
+        model = place.model
+        model.crowd(self.stage.now(), factor, True)
+        self.stage.ground.within_worker(place.name, place.server.pump)
+
+        def end():
+            if place.is_up and place.model is model:
+                model.crowd(self.stage.now(), factor, False)
+                self.stage.ground.within_worker(place.name, place.server.pump)
+
+        self._later(trouble.lasts, end)
+
+    def _crash(self, trouble, place, quietly=False):
+        place.down(quietly)
+        self._later(2 * SECOND, self.stage.gone, place)
+        if trouble.lasts:
+            self._later(trouble.lasts, self.stage.revive, place)
+
+    def _vanish(self, trouble, place):
+        if not place.is_up:
+            return
+        self.stage.ground.vanish(place.name)
+        spell = self.stage.ledgers.begin("vanished", place.name, self.stage.now())
+        spell.ends = self.stage.now() + int(trouble.lasts) + SECOND
+        self._crash(trouble, place, quietly=True)
+        self._later(int(trouble.lasts) - 1, self.stage.ground.back, place.name)
+
+    def _drain(self, trouble, place):
+        """Told to leave, it goes on with what it has; at the end of it all it is back as a new one."""
+        self._leave(place, int(trouble.lasts))
+        self._later(int(trouble.lasts) + SECOND, self.stage.revive, place)
+
+    def _shrink(self, trouble, place):
+        self._leave(place, int(self.stage.script.dispatchers.drain_grace) + AFTER_GRACE)
+
+    def _leave(self, place, lasts):
+        if not place.is_up:
+            return
+        self.stage.list_as(place, "terminating")
+        model = place.model
+
+        def hand_back():
+            if place.is_up and place.model is model:
+                model.drain(self.stage.now())
+                self.stage.ground.within_worker(place.name, place.server.pump)
+
+        def end():
+            if place.model is model:
+                place.down()
+                self.stage.list_as(place, "terminated")
+
+        grace = int(self.stage.script.dispatchers.drain_grace) + int(self.stage.roster.lag) + SECOND // 2
+        self._later(min(grace, lasts), hand_back)
+        self._later(lasts, end)
+
+    # ---- discovery
+
+    def _list_outage(self, trouble, random):
+        stage = self.stage
+        stage.roster.failing += 1
+        stage.ground.within_discovery(stage.discovery.outage)
+
+        def end():
+            stage.roster.failing -= 1
+
+        self._later(trouble.lasts, end)
+
+    def _list_lag(self, trouble, random):
+        roster = self.stage.roster
+        roster.lag += int(trouble.by)
+
+        def end():
+            roster.lag -= int(trouble.by)
+
+        self._later(trouble.lasts, end)
+
+    def _list_move(self, trouble, place):
+        stage = self.stage
+        if not place.is_up:
+            return
+        old = place.discovery
+        place.moves += 1
+        place.discovery = stage.ground.discovery_address(place.name, place.moves)
+        stage.ground.discovery_moves(stage.discovery, place.name, place.discovery)
+        place.reload()
+        self._later(1.5 * SECOND, stage.ground.within_discovery, lambda: stage.discovery.move(old[1]))
+
+    # ---- dispatchers
+
+    def _kill(self, trouble, place):
+        place.kill()
+        self._later(trouble.lasts, self._again, place)
+
+    def _again(self, place):
+        if not place.is_up:
+            place.up()
+            self.stage.ground.within_clients(lambda: self.stage.front.watch(place.name))
+
+    def _stop(self, trouble, place):
+        """An orderly stop; what it has not answered by 0.7 s past the longest stop is its own fault."""
+        if not place.is_up:
+            return
+        stage = self.stage
+        told = stage.now()
+        place.stop()
+
+        def over():
+            if stage.ground.dispatcher_ended(place.name):
+                place.is_up = False
+            else:
+                if stage.ledgers.excuse(place.name, told, stage.now()) is None:
+                    stage.ledgers.faults.append((place.name, "did not end after SIGTERM"))
+                place.kill()
+            place.up()
+            stage.ground.within_clients(lambda: stage.front.watch(place.name))
+
+        self._later(max(int(trouble.lasts), 4 * SECOND), over)
+
+    def _hold(self, trouble, place):
+        stage = self.stage
+        if not place.is_up:
+            return
+        spell = stage.ledgers.begin("held", place.name, stage.now())
+        stage.ground.hold(place.name, True)
+
+        def end():
+            stage.ground.hold(place.name, False)
+            spell.ends = stage.now() + SECOND // 10
+
+        self._later(trouble.lasts, end)
+
+    # ---- the network
+
+    def _cut(self, trouble, random):
+        stage = self.stage
+        workers = self._targets(trouble, random, stage.workers, trouble.workers)
+        names = trouble.dispatchers or list(stage.dispatchers)
+        cut = stage.ground.cut([place.name for place in workers], names)
+        spells = [stage.ledgers.begin("cut off", place.name, stage.now()) for place in workers]
+
+        def end():
+            stage.ground.heal(cut)
+            for spell in spells:
+                spell.ends = stage.now() + SECOND
+
+        self._later(trouble.lasts, end)
+
+    def _slow_net(self, trouble, random):
+        ground = self.stage.ground
+        ground.slower(trouble.factor)
+        self._later(trouble.lasts, ground.slower, 1 / trouble.factor)
+
+    def _resets(self, trouble, random):
+        ends = self.stage.now() + int(trouble.lasts)
+
+        def strike():
+            if self.stage.now() < ends:
+                self.stage.ground.reset_one(random)
+                self._later(random.expovariate(trouble.rate) * SECOND, strike)
+
+        strike()
+
+    # ---- clients
+
+    def _burst(self, trouble, random):
+        for arrivals in self.stage.arrivals:
+            arrivals.factor *= trouble.factor
+
+        def end():
+            for arrivals in self.stage.arrivals:
+                arrivals.factor /= trouble.factor
+
+        self._later(trouble.lasts, end)
+
+    def _rude(self, trouble, random):
+        stage = self.stage
+        until = stage.now() + int(trouble.lasts)
+        stage.ground.within_clients(lambda: self.spawn(stage.rude.play(trouble.rate, until)))
--- /dev/null
+++ b/heronwinch/rehearsal/virtual.py
@@ -0,0 +1,262 @@
+"""The virtual ground for a stage: every dispatcher is the unchanged program in a process of its own."""
+
+import asyncio
+import json
+from collections import Counter
+
+from heronwinch.interface import SECOND
+from heronwinch.plan import read_plan
+from heronwinch.program import Program
+from heronwinch.rehearsal.course import Record, Recorded, capture_logs
+from heronwinch.rehearsal.ground.files import Files
+from heronwinch.rehearsal.ground.guard import sealed
+from heronwinch.rehearsal.ground.kernel import EPOCH, Kernel
+from heronwinch.rehearsal.ground.network import Network
+from heronwinch.rehearsal.ground.process import Process, VirtualMachine
+from heronwinch.rehearsal.stage import LAST_STOP, Stage
+
+PORT = 7070
+DISCOVERY, CLIENTS = "10.2.0.1", "10.3.0.1"
+ENVIRON = {"RELAY_CONFIG": "config.json"}
+# What the log of a program says of its own faults: none of it may happen, whatever happens outside.
+FAULTS = frozenset(
+    (
+        "module_fault",
+        "action_fault",
+        "client_fault",
+        "hand_off_fault",
+        "probe_fault",
+        "stray_fault",
+        "invariant_broken",
+    )
+)
+DECISIONS = 1 << 32  # digest numbers of dispatchers' decisions start here, those of connections below
+
+
+class GroundClock:
+    def __init__(self, kernel):
+        self.kernel = kernel
+
+    def now(self):
+        return EPOCH + self.kernel.now
+
+
+class VirtualGround:
+    """`policy(terms, seed)` makes the module of every dispatcher; `steps` is called now and then with the
+    virtual seconds played."""
+
+    def __init__(self, script, seed, policy):
+        self.script, self.policy = script, policy
+        self.kernel = Kernel(seed)
+        self.network = Network(self.kernel, int(script.network.delay), int(script.network.jitter))
+        self.clock = GroundClock(self.kernel)
+        self.processes = {}  # name -> its present process
+        self.files = {}
+        self.ips = {}
+        self.records = []
+        self.faults = []
+        self.counts = Counter()
+        self.programs = {}
+        self.logs = []
+
+    # ---- time and chance
+
+    def after(self, delay, act, *args):
+        self.kernel.after(int(delay), act, *args)
+
+    def random(self, *name):
+        return self.kernel.random(*name)
+
+    # ---- addresses
+
+    def worker_address(self, name):
+        i = int(name[1:])
+        self.ips[name] = f"10.1.{i // 250}.{i % 250 + 1}"
+        return self.ips[name], PORT
+
+    def dispatcher_address(self, name):
+        i = int(name[1:])
+        self.ips[name] = f"10.0.{i // 250}.{i % 250 + 1}"
+        return self.ips[name], PORT
+
+    def discovery_address(self, name, moves):
+        return DISCOVERY, 8000 + int(name[1:]) + 1000 * moves
+
+    # ---- processes
+
+    def _process(self, name, ip, descriptors=1 << 30):
+        files = self.files.setdefault(name, Files(random=self.random("files", name)))
+        process = self.processes[name] = Process(self.kernel, self.network, name, ip, descriptors, files)
+        return process
+
+    def worker_up(self, name, server, address):
+        process = self._process(name, address[0])
+
+        async def main():
+            await server.listen(*address)
+            await asyncio.Event().wait()
+
+        process.start(main)
+
+    def worker_down(self, name, server, quietly):
+        self.processes[name].kill(quietly)
+
+    def within_worker(self, name, act):
+        self.kernel.within(self.processes[name], act)
+
+    def discovery_up(self, server, dispatchers):
+        process = self._process("discovery", DISCOVERY)
+
+        async def main():
+            for name in dispatchers:
+                await server.listen_for(name, *self.discovery_address(name, 0))
+            await asyncio.Event().wait()
+
+        process.start(main)
+
+    def discovery_moves(self, server, name, address):
+        self.within_discovery(
+            lambda: asyncio.ensure_future(server.listen_for(name, *address), loop=self.processes["discovery"])
+        )
+
+    def within_discovery(self, act):
+        self.kernel.within(self.processes["discovery"], act)
+
+    def clients_up(self, play):
+        process = self._process("clients", CLIENTS)
+
+        async def main():
+            await play(process.create_task, asyncio.sleep)
+            await asyncio.Event().wait()
+
+        process.start(main)
+
+    def within_clients(self, act):
+        self.kernel.within(self.processes["clients"], act)
+
+    # ---- dispatchers
+
+    def dispatcher_up(self, name, tree):
+        self._collect(name)
+        process = self._process(name, self.ips[name], self.script.dispatchers.sockets)
+        process.files.install("config.json", json.dumps(tree).encode())
+        record = Record(name, self.clock.now())
+        self.records.append(record)
+        number = DECISIONS + len(self.records)
+
+        def make(terms, seed):
+            return Recorded(self.policy(terms, seed), record, lambda data: self.kernel.note(number, data))
+
+        def reread():
+            return read_plan(ENVIRON, again=True, read=process.files.read_text)
+
+        async def main():
+            plan = read_plan(ENVIRON, read=process.files.read_text)
+            record.program = Program(plan, VirtualMachine(process), make, reread)
+            await record.program.run()
+
+        process.start(main)
+
+    def _collect(self, name):
+        """What the last life of a dispatcher leaves behind."""
+        process = self.processes.get(name)
+        if process is not None:
+            self.faults += [
+                (name, f"{fault.get('message')}: {fault.get('exception')!r}") for fault in process.faults
+            ]
+            process.faults = []
+
+    def dispatcher_kill(self, name):
+        self.processes[name].kill()
+
+    def dispatcher_signal(self, name, number, tree=None):
+        process = self.processes[name]
+        if tree is not None:
+            process.files.install("config.json", json.dumps(tree).encode())
+        process.signal(number)
+
+    def dispatcher_ended(self, name):
+        return not self.processes[name].alive
+
+    def hold(self, name, on):
+        process = self.processes[name]
+        process.pause() if on else process.resume()
+
+    # ---- the network
+
+    def vanish(self, name):
+        self.network.vanish(self.ips[name])
+
+    def back(self, name):
+        self.network.back(self.ips[name])
+
+    def cut(self, some, others):
+        return self.network.cut([self.ips[name] for name in some], [self.ips[name] for name in others])
+
+    def heal(self, cut):
+        self.network.heal(cut)
+
+    def slower(self, factor):
+        for name in self.ips:
+            ip = self.ips[name]
+            self.network.slow[ip] = self.network.slow.get(ip, 1.0) * factor
+
+    def reset_one(self, random):
+        """One connection between a dispatcher and a worker."""
+        names = [
+            name
+            for name in self.processes
+            if name[0] == "w" and name[1:].isdigit() and self.processes[name].ends
+        ]
+        if names:
+            ends = list(self.processes[random.choice(names)].ends)
+            self.network.reset(random.choice(ends))
+
+    # ---- logs, and the end
+
+    def said(self, process, when, level, event):
+        if event.get("event") in FAULTS and len(self.faults) < 1000:
+            self.faults.append((process, " ".join(f"{k}={v}" for k, v in event.items())))
+        if len(self.logs) < 100_000:
+            self.logs.append((when, process, level, event))
+
+    def speaker(self):
+        process = self.kernel.current
+        return self.clock.now(), process.name if process is not None else "ground"
+
+    def close(self):
+        for name, process in list(self.processes.items()):
+            self._collect(name)
+            process.kill()
+        for record in self.records:
+            if record.program is not None:
+                self.counts.update(record.program.watch.counts)
+
+
+def rehearse(script, seed, policy, progress=lambda seconds: None):
+    """Plays a script in virtual time; the stage with its ledgers, and the ground."""
+    import structlog
+
+    ground = VirtualGround(script, seed, policy)
+    before = structlog.get_config() if structlog.is_configured() else None
+    capture_logs(ground.said, ground.speaker)
+    try:
+        with sealed():
+            stage = Stage(script, ground)
+            stage.set_up()
+            end = stage.lasts()
+            step = SECOND
+            at = 0
+            while at < end:
+                at = min(end, at + step)
+                ground.kernel.run(at)
+                progress(at / SECOND)
+            stage.stop()
+            ground.kernel.run(end + LAST_STOP)
+            ledgers = stage.finish()
+    finally:
+        structlog.configure(**before) if before else structlog.reset_defaults()
+    ledgers.faults += ground.faults
+    ledgers.troubles = ground.counts
+    ledgers.records = ground.records
+    return stage, ground
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,11 +11,20 @@
 import sys
 
 import pytest
+import structlog
 
 from examples import toy
 from heronwinch import interface as it
+from heronwinch.plan import read_plan
 from heronwinch.policy import Dispatcher
+from heronwinch.program import Program
 from heronwinch.protocol.clients import Door
+from heronwinch.rehearsal.course import capture_logs
+from heronwinch.rehearsal.ground.files import Files
+from heronwinch.rehearsal.ground.guard import sealed
+from heronwinch.rehearsal.ground.kernel import Kernel
+from heronwinch.rehearsal.ground.network import Network
+from heronwinch.rehearsal.ground.process import Process, VirtualMachine
 
 MS = 1_000_000
 ROOT = pathlib.Path(__file__).parent.parent
@@ -129,7 +138,7 @@
         await self.start()
         return self
 
-    def write_config(self, **changes):
+    def tree(self, changes):
         tree = json.loads((ROOT / "examples" / "config.json").read_text())
         tree |= {"listen": "{}:{}".format(*self.address), "discovery": self.discovery.dial,
                  "limits": {"sockets": self.sockets},
@@ -140,8 +149,11 @@
             for parent in parents:
                 node = node[parent]
             node[name] = value
+        return tree
+
+    def write_config(self, **changes):
         path = self.folder / "config.json"
-        path.write_text(json.dumps(tree))
+        path.write_text(json.dumps(self.tree(changes)))
         return path
 
     async def start(self, **changes):
@@ -200,6 +212,114 @@
             server.die()
 
 
+class VirtualPath:
+    """Where the configuration of a program on the virtual ground lies."""
+
+    def __init__(self, files):
+        self.files = files
+
+    def write_text(self, text):
+        self.files.install("config.json", text.encode())
+
+
+class VirtualProgram:
+    """A program's process on the virtual ground, as tests know one of the system's."""
+
+    def __init__(self, stage):
+        self.stage = stage
+        self.process = Process(stage.kernel, stage.network, "program", "127.0.0.1", stage.sockets + 20)
+        self.process.files = stage.files
+        self.process.on_exit.append(self._ended)
+        self.returncode = None
+        self.process.start(self._main)
+
+    async def _main(self):
+        environ = {"RELAY_CONFIG": "config.json", "RELAY_DISCOVERY": self.stage.discovery.dial}
+
+        def read(again=False):
+            return read_plan(environ, again, self.stage.files.read_text)
+        await Program(read(), VirtualMachine(self.process), Dispatcher, lambda: read(True)).run()
+
+    def _ended(self):
+        faults = [fault for fault in self.process.faults if fault.get("exception")]
+        self.stage.logged += [repr(fault) for fault in faults]
+        self.returncode = 1 if faults else 0
+
+    def terminate(self):
+        self.send_signal(signal.SIGTERM)
+
+    def send_signal(self, number):
+        self.process.signal(number)
+
+    def kill(self):
+        self.process.kill()
+
+
+class VirtualStage(Stage):
+    """The same in virtual time: what a scene waits for takes no real time, and comes in the same order."""
+
+    def __init__(self, settings, workers, sockets):
+        super().__init__(None, settings, workers, sockets)
+        self.kernel = Kernel(1)
+        self.network = Network(self.kernel)
+        self.files = Files()
+        self.logged = []
+
+    def write_config(self, **changes):
+        path = VirtualPath(self.files)
+        path.write_text(json.dumps(self.tree(changes)))
+        return path
+
+    async def start(self, **changes):
+        self.write_config(**changes)
+        self.process = VirtualProgram(self)
+        while (await self.get("/-/ready"))[0] != 200:
+            await asyncio.sleep(0.02)
+
+    async def finish(self):
+        if self.process.returncode is None:
+            self.process.terminate()
+        async with asyncio.timeout(20):
+            while self.process.returncode is None:
+                await asyncio.sleep(0.01)
+        return self.process.returncode, "\n".join(self.logged)
+
+    async def __aexit__(self, *_):
+        self.process.kill()
+        for server in [*self.workers, self.discovery]:
+            server.die()
+
+    def speaker(self):
+        return self.kernel.now, ""
+
+    def take_log(self, process, when, level, event):
+        self.logged.append(f"level={level} " + " ".join(f"{name}={value}" for name, value in event.items()))
+
+    def play(self, scene):
+        done = []
+
+        async def main():
+            async with self:
+                async with asyncio.timeout(30):  # nothing here takes so long unless it hangs
+                    await scene(self)
+                status, logged = await self.finish()
+                assert status == 0, logged
+                assert not [word for word in FAULTS if word in logged], logged
+            done.append(True)
+        process = Process(self.kernel, self.network, "scene", "127.0.0.1")
+        capture_logs(self.take_log, self.speaker)
+        try:
+            with sealed():
+                process.start(main)
+                self.kernel.run(120 * it.SECOND)
+        finally:
+            structlog.reset_defaults()
+        for fault in process.faults:
+            if fault.get("exception") is not None:
+                raise fault["exception"]
+        assert done, "the scene did not come to its end"
+
+
 def free_address():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -236,8 +356,17 @@
 
 
 @pytest.fixture
-def stage(tmp_path):
-    """Plays a scene, a coroutine function of a Stage; the program must then end by itself, faultless."""
+def stage():
+    """Plays a scene, a coroutine function of a Stage, in virtual time; the program must then end by itself,
+    faultless."""
+    def play(scene, workers=2, sockets=1024, **settings):
+        VirtualStage(settings, workers, sockets).play(scene)
+    return play
+
+
+@pytest.fixture
+def real_stage(tmp_path):
+    """The same on real sockets, for what is the system's."""
     def play(scene, workers=2, sockets=1024, **settings):
         async def run():
             async with Stage(tmp_path, settings, workers, sockets) as stage:
@@ -248,3 +377,62 @@
                 assert not [word for word in FAULTS if word in logged], logged
         asyncio.run(run())
     return play
+
+
+# ---- the virtual ground
+
+
+class Ground:
+    """Two machines on a virtual ground and the processes on them."""
+
+    def __init__(self, seed=1, **network):
+        self.kernel = Kernel(seed)
+        self.network = Network(self.kernel, **network)
+        self.results = {}
+
+    def process(self, name, main=None, **given):
+        """A process on a machine of that name, running a coroutine function of itself."""
+        process = Process(self.kernel, self.network, name, name, **given)
+        if main is not None:
+            async def run():
+                self.results[name] = await main(process)
+            process.start(run)
+        return process
+
+    def run(self, seconds):
+        self.kernel.run(self.kernel.now + int(seconds * it.SECOND))
+
+
+@pytest.fixture
+def ground():
+    return Ground
+
+
+SCRIPT = """
+format = 1
+name = "small"
+seconds = "6s"
+[fleet]
+workers = 4
+slots = 2
+[[categories]]
+name = "quote"
+running = "60ms"
+expiry = "2s"
+[[categories]]
+name = "settle"
+effect = "exclusive"
+running = "60ms"
+expiry = "3s"
+[[traffic]]
+category = "quote"
+rate = 30.0
+[[traffic]]
+category = "settle"
+rate = 15.0
+"""
+
+
+def trouble(what, at="1s", **words):
+    rows = [f"{name} = {json.dumps(value)}" for name, value in {"at": at, "what": what, **words}.items()]
+    return "\n".join(["[[troubles]]", *rows, ""])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -237,6 +237,9 @@
     def abort(self):
         self.aborted = True
 
+    def get_extra_info(self, name):
+        return None
+
 
 def test_after_a_reset_nothing_stays_open_while_it_may_go_again(workers):
     async def main():
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,5 +1,5 @@
 import pytest
-from conftest import CATEGORY, MS, TERMS, Driver, entry
+from conftest import CATEGORY, MS, TERMS, TWO, Driver, entry
 
 from heronwinch import interface as it
 from heronwinch.interface import Effect, Group, Outcome
@@ -627,3 +627,27 @@
     driver.answer(1, 0, driver.sent(1)[0], it.Outcome.ERROR, after=10)
     assert driver.final(1) == ["Defer"] and len(driver.sent(1)) == 1
     assert driver.dispatcher.rows[0].expiry == 9000 * MS
+
+
+def test_a_worker_whose_connections_do_not_come_up_gets_one_work_item_at_a_time_until_one_is_answered(drive):
+    # Guards against all that waits being handed to a worker that starts again, cold, before the list says so.
+    d = drive(workers=TWO[:1], category={"expiry": 60_000 * MS, "late_credit": 0.5})
+    report = it.Report(free_slots=8.0, held=0.0, waiting=0.0)
+    d.do(after=2000)
+    d.arrive(1)
+    d.answer(1, 0, 1, after=100, report=report)
+    for wi in range(2, 8):
+        d.arrive(wi)
+    for wi in range(2, 8):
+        d.answer(wi, 0, 1, it.Outcome.CONNECT_FAILED, elapsed=1)
+
+    def handed():
+        return [a.wi for a in d.all if type(a) is it.HandOff]
+    before = len(handed())
+    for _ in range(1500):
+        d.do(after=20)
+    (only,) = handed()[before:]
+    d.answer(only, 1, 1, after=5, report=report)
+    for _ in range(50):
+        d.do(after=20)
+    assert len(handed()) > before + 3
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,17 +13,17 @@
 from examples import toy
 
 
-def test_served_and_the_job_goes_on_unchanged(stage):
+def test_served_and_the_job_goes_on_unchanged(real_stage):
     async def scene(s):
         assert await s.ask("/book/a%20b?sid=7&x=1", b"hi", id="ab12", Idempotency_Key="k1") == (200, b"HI")
         ((headers, target, body),) = [each for w in s.workers for each in w.jobs]
         assert (headers[b"req-id"], headers[b"idempotency-key"]) == (b"ab12", b"k1")
         assert (target, body) == (b"/book/a%20b?sid=7&x=1", b"hi")
         assert 0 < float(headers[b"req-deadline"]) <= 5
-    stage(scene)
+    real_stage(scene)
 
 
-def test_many_at_once_and_several_on_one_connection(stage):
+def test_many_at_once_and_several_on_one_connection(real_stage):
     async def scene(s):
         answers = await asyncio.gather(*(s.ask(body=b"x%d" % i, id=f"i{i}") for i in range(12)))
         assert answers == [(200, b"X%d" % i) for i in range(12)]
@@ -33,7 +33,7 @@
             await reader.readuntil(b"\r\n\r\n")
             assert await reader.readexactly(1) == b"Y"
         writer.close()
-    stage(scene)
+    real_stage(scene)
 
 
 @pytest.mark.parametrize("data, status", [
@@ -87,12 +87,12 @@
     stage(scene)
 
 
-def test_a_worker_that_died_is_passed_over(stage):
+def test_a_worker_that_died_is_passed_over(real_stage):
     async def scene(s):
         s.workers[0].die()
         answers = [await s.ask("/charge/1", id=f"i{i}") for i in range(6)]
         assert answers == [(200, b"HI")] * 6  # refused connections prove that nothing ran
-    stage(scene)
+    real_stage(scene)
 
 
 def test_a_worker_dying_with_work_is_a_reset(stage):
@@ -160,7 +160,7 @@
     stage(scene)
 
 
-def test_planned_stop_finishes_what_was_taken(stage):
+def test_planned_stop_finishes_what_was_taken(real_stage):
     async def scene(s):
         for worker in s.workers:
             worker.running = 0.6
@@ -181,7 +181,7 @@
         kept.close()
         status, logged = await s.finish()
         assert status == 0 and "unanswered=0" in logged
-    stage(scene, workers=4)
+    real_stage(scene, workers=4)
 
 
 @pytest.mark.parametrize("path, status", [("/render/1", 503), ("/charge/1", 500)])
@@ -219,7 +219,7 @@
     stage(scene)
 
 
-def test_a_reload_changes_the_settings_and_a_bad_file_nothing(stage):
+def test_a_reload_changes_the_settings_and_a_bad_file_nothing(real_stage):
     async def scene(s):
         for worker in s.workers:
             worker.mode = "failed"
@@ -243,7 +243,7 @@
         _, logged = await s.finish()
         assert "reload_refused" in logged and "event=reloaded" in logged
         other.die()
-    stage(scene, workers=4)
+    real_stage(scene, workers=4)
 
 
 @pytest.mark.parametrize("text, says", [
@@ -264,17 +264,17 @@
     assert done.returncode not in (0, None) and done.stderr.count("\n") == 1 and says in done.stderr
 
 
-def test_an_address_in_use_is_one_plain_line(stage):
+def test_an_address_in_use_is_one_plain_line(real_stage):
     async def scene(s):
         other = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "heronwinch", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
             env={"RELAY_CONFIG": str(s.write_config()), "PATH": os.environ["PATH"]})
         _, errors = await other.communicate()
         assert other.returncode == 1 and errors.count(b"\n") == 1 and b"cannot listen" in errors
-    stage(scene)
+    real_stage(scene)
 
 
-def test_time_that_a_request_lay_unread_counts(stage):
+def test_time_that_a_request_lay_unread_counts(real_stage):
     async def scene(s):
         os.kill(s.process.pid, signal.SIGSTOP)
         asked = asyncio.create_task(s.ask(deadline="5.0"))
@@ -283,10 +283,10 @@
         assert (await asked)[0] == 200
         ((headers, _, _),) = [each for w in s.workers for each in w.jobs]
         assert float(headers[b"req-deadline"]) < 4.52  # the system tells the age of bytes in steps
-    stage(scene)
+    real_stage(scene)
 
 
-def test_silent_strangers_make_room_but_not_usual_clients(stage):
+def test_silent_strangers_make_room_but_not_usual_clients(real_stage):
     async def scene(s):
         reader, writer = await asyncio.open_connection(*s.address)
         writer.write(job())
@@ -299,7 +299,7 @@
         assert b" 200 " in await reader.readline()
         for _, each in [*silent, (reader, writer)]:
             each.close()
-    stage(scene, sockets=40)
+    real_stage(scene, sockets=40)
 
 
 def test_the_id_of_an_open_request_is_refused_and_its_owner_unharmed(stage):
@@ -335,7 +335,7 @@
 
 
 @pytest.mark.parametrize("closes", [False, True])
-def test_connections_to_workers_are_kept_unless_the_worker_ended_them(stage, closes):
+def test_connections_to_workers_are_kept_unless_the_worker_ended_them(real_stage, closes):
     async def scene(s):
         (worker,) = s.workers
         await s.ask()
@@ -344,17 +344,17 @@
         before = worker.accepted
         assert (await s.ask("/charge/1"))[0] == 200  # over a closed connection it would be a reset
         assert (worker.accepted > before) == closes
-    stage(scene, workers=1)
+    real_stage(scene, workers=1)
 
 
-def test_a_worker_that_never_accepts_is_given_up_in_time(stage):
+def test_a_worker_that_never_accepts_is_given_up_in_time(real_stage):
     async def scene(s):
         first, second = s.workers
         first.die()
         with deaf(tuple(first.address)):
             answers = [await s.ask("/charge/1", id=f"i{i}") for i in range(4)]
         assert answers == [(200, b"HI")] * 4 and len(second.jobs) == 4
-    stage(scene)
+    real_stage(scene)
 
 
 def test_half_a_request_and_a_silent_client_hold_up_nobody(stage):
