--- a/heronwinch/cli.py
+++ b/heronwinch/cli.py
@@ -253,5 +253,19 @@
     sys.exit(BROKEN if result["broken"] else FAILED if result["crashes"] else KEPT)
 
 
+@main.command()
+@click.option("--json", "path", metavar="FILE", help="Write the rows there.")
+def measure(path):
+    """Print how fast rehearsals run here, and how that grows with workers and dispatchers."""
+    from heronwinch.rehearsal.measure import as_table, machine, speed
+
+    rows = speed()
+    if path:
+        write(path, as_json({"machine": machine(), "rows": rows}))
+    click.echo(f"simulated, virtual time; {machine()}")
+    for line in as_table(rows):
+        click.echo(line)
+
+
 if __name__ == "__main__":
     main()
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -71,14 +71,16 @@
 
     __slots__ = (
         "effect", "group", "window", "kind", "due_time", "stretch", "expiry", "credit", "late_credit", "run",
+        "likely", "seen",
     )
 
     def __init__(self, category):
         self.take(category)
         self.run = 0.0  # learned: mean running time, 0 while none was seen
+        self.likely, self.seen = 0.0, 0  # the same with what did not come to its end, and of how many
 
     def take(self, category):
-        for name in self.__slots__[:-1]:
+        for name in self.__slots__[:-3]:
             setattr(self, name, getattr(category, name))
 
 
@@ -945,7 +947,11 @@
         return worker.slots or min((w.slots for w in self.usable if w.slots), default=1)
 
     def _work(self, wi):
-        return (wi.row.run or self.run or self.T) * wi.slots
+        """Its likely work, with one standard error of a mean of times that spread as far as they are long: a
+        mean of few, or of those that ended soon, would push cold workers over."""
+        row = wi.row
+        likely = max(row.run, row.likely * (1 + min(16, row.seen or 1) ** -0.5))
+        return (likely or self.run or self.T) * wi.slots
 
     # ---- learning
 
@@ -968,6 +974,12 @@
             self.actions.append(CloseIdle(worker.id))
         x = event.elapsed
         ho.elapsed = x
+        # Where long work does not come to its end (cold workers, time-outs), the mean of what does falls, and
+        # cold workers would be pushed over by work held to be short.
+        longer = x > wi.row.likely and event.outcome not in NEVER_RAN
+        if ho.direct and (longer or event.outcome == Outcome.OK):
+            wi.row.seen += 1
+            wi.row.likely = moved(wi.row.likely, x, min(16, wi.row.seen))
         if event.outcome == Outcome.OK:
             worker.fails = 0
             worker.refuses = False
--- a/heronwinch/rehearsal/explorer.py
+++ b/heronwinch/rehearsal/explorer.py
@@ -5,6 +5,7 @@
 import multiprocessing
 import os
 import pathlib
+import signal
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from random import Random
 
@@ -17,6 +18,7 @@
 
 MS = 1_000_000
 MOST_TRIES = 60  # runs that the shrinking of one failure may take
+MOST_SECONDS = 120  # of real time that one run may take
 MOST_SHRUNK = 8  # failures that are shrunk; further ones are only named
 FIRST = 1_000 * MS  # of a run, without troubles
 
@@ -176,11 +178,20 @@
     from heronwinch.rehearsal.account import account
     from heronwinch.rehearsal.virtual import rehearse
 
+    def too_long(*_):
+        raise TimeoutError(f"over {MOST_SECONDS} s of real time")
+
+    # Not a verdict on speed: a guard against a run that never ends, which would hold the whole search.
+    old = signal.signal(signal.SIGALRM, too_long)
+    signal.setitimer(signal.ITIMER_REAL, MOST_SECONDS)
     try:
         with FAULTS[fault]() if fault else nullcontext():
             stage, ground = rehearse(script, seed, Dispatcher)
     except Exception as problem:
         return [], {"crash": f"{type(problem).__name__}: {problem}", "items": 0}
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0)
+        signal.signal(signal.SIGALRM, old)
     tree, breaches, _ = account(
         script, seed, "module", stage.ledgers, ground.kernel.digest(), ground.kernel.events
     )
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -651,3 +651,17 @@
     for _ in range(50):
         d.do(after=20)
     assert len(handed()) > before + 3
+
+
+def test_the_likely_work_for_cold_workers_counts_what_did_not_come_to_its_end(drive):
+    # Guards against cold workers being pushed over by work held to be short, as only short work ended.
+    d = drive(workers=TWO[:1], category={"expiry": 60_000 * MS, "late_credit": 0.5})
+    d.do(after=2000)
+    for wi in range(1, 20):
+        d.arrive(wi, after=3000)
+        if d.sent(wi):
+            last = wi % 3 == 0
+            d.answer(wi, 0, 1, it.Outcome.TIMEOUT if last else it.Outcome.OK, elapsed=900 if last else 10,
+                     report=it.Report(free_slots=8.0, held=0.0, waiting=0.0))
+    row = d.dispatcher.rows[0]
+    assert row.seen > 5 and row.run < 50 * MS < 150 * MS < row.likely
