One worker stand-in for tests, examples and rehearsals; the toy deployment on its models

Need: examples/toy.py had workers and a discovery of its own beside those of the rehearsals. Change: it is a thin use of the models now; a worker model can end its work as failed, returned, lost or broken. The command `heronwinch` serves without the extra and says what is missing for the rest. Tests of experiments, and of one script in virtual time and on loopback.

--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -46,7 +46,17 @@
     await Program(plan, Machine(), Dispatcher, lambda: read_plan(os.environ, again=True)).run()
 
 
+def command():
+    """Without words, or with `serve` alone, the dispatcher; all else needs more than `run` has."""
+    if len(sys.argv) < 2 or sys.argv[1:] == ["serve"]:
+        return main()
+    try:
+        from heronwinch.cli import main as run
+    except ModuleNotFoundError as fault:
+        print(f"heronwinch: {fault.name} is missing; pip install 'heronwinch[rehearsal]'", file=sys.stderr)
+        return 2
+    return run()
+
+
 if __name__ == "__main__":
-    if len(sys.argv) > 1:
-        from heronwinch.cli import main
-    sys.exit(main())
+    sys.exit(command())
--- a/heronwinch/rehearsal/models/worker.py
+++ b/heronwinch/rehearsal/models/worker.py
@@ -105,16 +105,14 @@
         self.marks[run.job.category, run.job.ticket] = now, run
 
 
-TAKEN, STARTED, PROGRESS, DONE, FAILED, RETURNED, DECLINED, LOST = (
-    "taken",
-    "started",
-    "running",
-    "done",
-    "failed",
-    "returned",
-    "declined",
-    "lost",
-)
+# What the other side is told.
+TAKEN, STARTED, PROGRESS, DONE, FAILED, RETURNED, DECLINED, LOST, BROKEN = (
+    "taken", "started", "running", "done", "failed", "returned", "declined", "lost", "broken",
+)  # fmt: skip
+ENDS = {
+    "done": DONE, "repeat": DONE, "failed": FAILED, "returned": RETURNED, "declined": DECLINED, "lost": LOST,
+    "broken": BROKEN,
+}  # fmt: skip
 
 
 class WorkerModel:
@@ -137,6 +135,7 @@
         self.fallen = False
         self.draining = False
         self.paused_until = 0
+        self.ending = "done"  # how work that has run ends
         self.faults = {}  # troubles by name -> how many of them act
         self.crowding = []  # factors on its speed
         self.delays = []  # of its reports
@@ -239,10 +238,12 @@
 
     # ---- work
 
-    def offer(self, now, job, first_byte=0):
-        """A hand-off has come whole; what becomes of it stands in `news`, soon or later."""
+    def offer(self, now, job, first_byte=0, result=""):
+        """A hand-off has come whole; what becomes of it stands in `news`, soon or later. Without a result of
+        its own it has one that names the work item, the worker and the run."""
         self.advance(now)
         run = Run(len(self.ledger), self.name, job, first_byte or now, now)
+        run.result = result
         self.ledger.append(run)
         shape = self.shape
         if self.suffers("mute") or self.suffers("swallow"):
@@ -326,7 +327,7 @@
                 heappush(self.notes, (now + shape.progress_every, next(self.order), run))
 
     def _result(self, run):
-        run.result = f"{run.job.id}/{self.name}/{run.number}"
+        run.result = run.result or f"{run.job.id}/{self.name}/{run.number}"
         return run.result
 
     def _tell(self, run, what, figure=0.0):
@@ -334,10 +335,7 @@
 
     def _end(self, run, now, end):
         run.ended, run.end = now, end
-        what = {"done": DONE, "repeat": DONE, "failed": FAILED, "returned": RETURNED, "declined": DECLINED}[
-            end
-        ]
-        self._tell(run, what)
+        self._tell(run, ENDS[end])
 
     def _free(self, run):
         del self.active[run]
@@ -401,7 +399,7 @@
             if run in self.active:
                 self._free(run)
                 self._result(run)
-                self._end(run, now, "done")
+                self._end(run, now, self.ending)
                 ended = True
         if ended:
             self._start(now)
--- a/heronwinch/rehearsal/standins/discovery.py
+++ b/heronwinch/rehearsal/standins/discovery.py
@@ -18,7 +18,7 @@
         self.askers = {}  # port -> dispatcher
         self.watches = {}  # exchange -> (dispatcher, version, its timer)
         self.timer = None
-        self.calls = 0
+        self.count = 0
 
     async def listen_for(self, dispatcher, host="127.0.0.1", port=0):
         address = await self.listen(host, port)
@@ -26,24 +26,28 @@
         return address
 
     def answer(self, exchange):
-        self.calls += 1
+        self.count += 1
         now = self.clock.now()
         dispatcher = self.askers[exchange.connection.transport.get_extra_info("sockname")[1]]
         path = urlsplit(exchange.request.target.decode("latin-1"))
         if path.path != "/api/targets":
             exchange.whole(404)
             return
+        asked = {name: int(value[0]) for name, value in parse_qs(path.query).items()}
+        self.heard(asked)
         if self.roster.failing:
-            exchange.whole(503) if self.calls % 2 else exchange.reset()
+            exchange.whole(503) if self.count % 2 else exchange.reset()
             return
         begins = max(now, self.free_at)
         if begins - now > self.longest:
             exchange.whole(503)
             return
         self.free_at = begins + self.work
-        asked = {name: int(value[0]) for name, value in parse_qs(path.query).items()}
         self.loop.call_later((self.free_at - now) / SECOND, self._serve, exchange, dispatcher, asked)
 
+    def heard(self, asked):
+        """A call has come; for whoever counts them."""
+
     def _serve(self, exchange, dispatcher, asked):
         if exchange.over:
             return
--- a/heronwinch/rehearsal/standins/http.py
+++ b/heronwinch/rehearsal/standins/http.py
@@ -11,19 +11,21 @@
 class Exchange:
     """One request and the answer that is written to it. `tag` is for whoever answers it."""
 
-    __slots__ = ("connection", "request", "body", "first_byte", "tag", "over")
+    __slots__ = ("connection", "request", "body", "first_byte", "tag", "over", "headed")
 
     def __init__(self, connection, request, first_byte):
         self.connection, self.request, self.first_byte = connection, request, first_byte
         self.body = b""
         self.tag = None
         self.over = False
+        self.headed = False  # its head is written
 
     @property
     def headers(self):
         return dict(self.request.headers)
 
     def head(self, status, *headers):
+        self.headed = True
         self._send(h11.Response(status_code=status, headers=[*headers], reason=b""))
 
     def chunked(self):
--- a/heronwinch/rehearsal/standins/worker.py
+++ b/heronwinch/rehearsal/standins/worker.py
@@ -5,6 +5,7 @@
 
 from heronwinch.interface import SECOND
 from heronwinch.rehearsal.models.worker import (
+    BROKEN,
     DECLINED,
     DONE,
     FAILED,
@@ -65,42 +66,39 @@
         )
 
     def _offer(self, exchange):
-        headers = exchange.headers
         self.requests += 1
         now = self.clock.now()
         try:
-            id = headers[b"req-id"].decode()
-            name = exchange.request.target.decode().partition("?")[0].strip("/").split("/")[0]
-            kind, asks = self.kinds[name], json.loads(exchange.body)
-            seconds = float(headers.get(b"req-deadline", b"3600"))
-            job = Job(
-                id,
-                name,
-                kind.effect,
-                headers.get(b"idempotency-key", b"").decode(),
-                kind.window,
-                int(asks["work"]),
-                float(asks.get("slots", 1)),
-                float(asks.get("memory", 0)),
-                now + int(seconds * SECOND),
-                kind.running,
-            )
+            job, result = self.read(exchange, now)
         except (KeyError, ValueError, TypeError) as fault:
-            self.forged.append(
-                (now, exchange.request.target.decode("latin-1"), f"{type(fault).__name__}: {fault}")
-            )
-            exchange.whole(404 if b"req-id" not in headers else 400)
+            why = f"{type(fault).__name__}: {fault}"
+            self.forged.append((now, exchange.request.target.decode("latin-1"), why))
+            exchange.whole(404 if b"req-id" not in exchange.headers else 400)
             return
         if self.model.suffers("garble"):
-            run = self.model.offer(now, job, exchange.first_byte)
+            run = self.model.offer(now, job, exchange.first_byte, result)
             self.model.news = [news for news in self.model.news if news[0] is not run]
             run.left = now
             exchange.garbage(GARBAGE[run.number % len(GARBAGE)])
             exchange.reset()
             return
-        exchange.tag = run = self.model.offer(now, job, exchange.first_byte)
+        exchange.tag = run = self.model.offer(now, job, exchange.first_byte, result)
         self.exchanges[run] = exchange
 
+    def read(self, exchange, now):
+        """The job that was handed off, and its result where that is known; errors are those of reading."""
+        headers = exchange.headers
+        name = exchange.request.target.decode().partition("?")[0].strip("/").split("/")[0]
+        kind, asks = self.kinds[name], json.loads(exchange.body)
+        seconds = float(headers.get(b"req-deadline", b"3600"))
+        ticket = headers.get(b"idempotency-key", b"").decode()
+        job = Job(
+            headers[b"req-id"].decode(), name, kind.effect, ticket, kind.window, int(asks["work"]),
+            float(asks.get("slots", 1)), float(asks.get("memory", 0)), now + int(seconds * SECOND),
+            kind.running,
+        )  # fmt: skip
+        return job, ""
+
     def gone(self, exchange):
         run = exchange.tag
         if run is not None:
@@ -164,9 +162,12 @@
                 text = ",".join(f"{name}={value}" for name, value in self.load().items())
                 headers.append((b"Srv-Load", text.encode()))
             exchange.whole(503, b"", *headers)
-        elif what == FAILED and run.begun == run.came:
+        elif what == FAILED and not exchange.headed:
             del self.exchanges[run]
             exchange.whole(500)
+        elif what == BROKEN:
+            del self.exchanges[run]
+            exchange.reset()
         else:
             del self.exchanges[run]
             state = {DONE: "done", FAILED: "failed", RETURNED: "returned", LOST: "lost"}[what]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -133,7 +133,7 @@
 
     async def __aenter__(self):
         for server in [*self.workers, self.discovery]:
-            await server.listen()
+            await server.start()
         self.address = free_address()
         await self.start()
         return self
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -327,7 +327,7 @@
 
 def test_a_discovery_that_counts_from_the_start_again_is_asked_for_the_whole_list(workers):
     async def main():
-        server = await toy.Discovery([]).listen()
+        server = await toy.Discovery([]).start()
         workers.version = 41
         line = discovery.Discovery(workers.engine, workers, server.address, workers.watch)
         line.subscribe(True)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -204,9 +204,10 @@
         taken = asyncio.create_task(s.ask())
         while not any(w.held for w in s.workers):
             await asyncio.sleep(0.01)
-        other = await toy.Discovery(s.workers).listen()
-        other.version = 0  # its versions are its own: a watch from the old one's would wait past the drain
         s.workers[0].health = "terminating"
+        other = await toy.Discovery(s.workers).start()
+        # Its versions are its own: a watch from the old one's would wait past the drain.
+        other.roster.version = other.roster.seen_version = 0
         await s.reload(other)
         assert other.calls[0] == {} and other.calls[1]["index"] == 0
         while s.discovery.writers:  # the old one is left
@@ -223,7 +224,7 @@
     async def scene(s):
         for worker in s.workers:
             worker.mode = "failed"
-        other = await toy.Discovery(s.workers).listen()
+        other = await toy.Discovery(s.workers).start()
         s.settings["limits.most_hand_offs"] = 1
         for text in ("{", '{"settings": {}}', "[" * 100_000):
             s.write_config().write_text(text)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -12,7 +12,7 @@
 
 from heronwinch.interface import SECOND, Effect
 from heronwinch.policy import Dispatcher
-from heronwinch.rehearsal import explorer, faults
+from heronwinch.rehearsal import experiment, explorer, faults, loopback
 from heronwinch.rehearsal.account import account, courses
 from heronwinch.rehearsal.baselines import POLICIES
 from heronwinch.rehearsal.models.roster import Listed, Roster
@@ -517,3 +517,84 @@
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
     assert done.stdout.strip() == "[]", done.stdout
+
+
+def test_without_the_extra_the_command_says_what_is_missing():
+    code = (
+        "import sys; sys.modules['click'] = None; sys.argv = ['heronwinch', 'rehearse', 'x.toml']; "
+        "from heronwinch.__main__ import command; sys.exit(command())"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and "pip install" in done.stderr
+
+
+# ---- experiments
+
+
+def plan(tmp_path, text):
+    (tmp_path / "small.toml").write_text(SCRIPT.replace('"6s"', '"2s"'))
+    (tmp_path / "plan.toml").write_text(text)
+    return experiment.read_plan(tmp_path / "plan.toml")
+
+
+def test_an_experiment_plays_the_grid_and_tells_intervals(tmp_path):
+    told = plan(
+        tmp_path,
+        'scripts = ["small.toml"]\nseeds = 3\npolicies = ["module", "random"]\n'
+        '[vary]\n"fleet.slots" = [2.0, 4.0]\n',
+    )
+    result = experiment.run(told, 2, lambda line: None)
+    assert [(row["policy"], row["vary"], row["runs"]) for row in result["rows"]] == [
+        ("module", {"fleet.slots": 2.0}, 3),
+        ("random", {"fleet.slots": 2.0}, 3),
+        ("module", {"fleet.slots": 4.0}, 3),
+        ("random", {"fleet.slots": 4.0}, 3),
+    ]
+    mean, half = result["rows"][0]["credit"]
+    assert 0.9 < mean <= 1 and half is not None and not result["broken"]
+    assert len(experiment.as_table(result)) == 5 and "<svg" in experiment.as_html(result)
+    assert result == experiment.run(told, 1, lambda line: None)
+
+
+def test_confidence_intervals():
+    assert experiment.interval([1.0, 2.0, 3.0, 4.0]) == [2.5, pytest.approx(2.0542, abs=1e-3)]
+    assert experiment.interval([2.0]) == [2.0, None] and experiment.interval([]) == [None, None]
+
+
+@pytest.mark.parametrize(
+    "text, says",
+    [
+        ("scripts = []", "name one script"),
+        ('scripts = ["none.toml"]', "cannot be read"),
+        ('scripts = ["small.toml"]\npolicies = ["best"]', "no policy is called best"),
+        ('scripts = ["small.toml"]\n[vary]\n"fleet.wheels" = [1]', "no such place"),
+        ('scripts = ["small.toml"]\n[vary]\n"fleet.workers" = [0]', "vary.fleet.workers: 0"),
+        ('scripts = ["small.toml"]\nseeds = 1000000', "too many"),
+        ("scripts = [", "no TOML"),
+    ],
+)
+def test_a_broken_plan_is_one_line(tmp_path, text, says):
+    with pytest.raises(experiment.PlanError) as caught:
+        plan(tmp_path, text)
+    assert says in str(caught.value) and "\n" not in str(caught.value)
+
+
+# ---- on real sockets
+
+
+def test_virtual_time_and_loopback_agree_on_a_script():
+    script = parse(SCRIPT.replace('"6s"', '"4s"') + trouble("crash", at="1s", lasts="1s", workers=["w0"]))
+    stage = loopback.play(script, 1)
+    real, breaches, judge = account(script, 1, "module", stage.ledgers)
+    assert not breaches, list(courses(judge, breaches))
+    stage, _ = rehearse(script, 1, Dispatcher)
+    virtual, _, _ = account(script, 1, "module", stage.ledgers)
+    # The same work comes; what becomes of it differs by a few work items.
+    assert real["wanted"] == virtual["wanted"] and real["credit"] == pytest.approx(
+        virtual["credit"], abs=0.08
+    )
+
+
+def test_what_sockets_cannot_be_given_is_refused():
+    with pytest.raises(loopback.Unplayable, match="virtual time only"):
+        loopback.play(parse(SCRIPT + trouble("cut", lasts="1s", count=1)), 1)
