--- a/heronwinch/rehearsal/experiment.py
+++ b/heronwinch/rehearsal/experiment.py
@@ -38,13 +38,16 @@
     first_seed: int = 1
     policies: list[str] = msgspec.field(default_factory=lambda: ["module"])
     vary: dict[str, list] = {}
+    troubles: list[
+        scripts.Trouble
+    ] = []  # each is played alone with each script, which then has none of its own
 
 
 def read_plan(path):
     """(the plan, its scripts by name); raises PlanError."""
     try:
         with open(path, "rb") as file:
-            plan = msgspec.convert(tomllib.load(file), Plan)
+            plan = msgspec.convert(tomllib.load(file), Plan, dec_hook=scripts.read_hook)
     except OSError as fault:
         raise PlanError(f"{path}: cannot be read: {fault}") from None
     except tomllib.TOMLDecodeError as fault:
@@ -61,7 +64,13 @@
     told = {}
     for name in plan.scripts:
         try:
-            told[name] = scripts.read_script(pathlib.Path(path).parent / name)
+            script = scripts.read_script(pathlib.Path(path).parent / name)
+            told[name] = script
+            for trouble in plan.troubles:
+                alone = msgspec.structs.replace(script, troubles=[trouble])
+                told[f"{name} {trouble.what}"] = scripts.parse(
+                    scripts.write_script(alone), f"troubles of {name}"
+                )
         except scripts.ScriptError as fault:
             raise PlanError(f"{path}: scripts: {fault}") from None
         for place, values in plan.vary.items():
--- a/heronwinch/rehearsal/script.py
+++ b/heronwinch/rehearsal/script.py
@@ -198,7 +198,8 @@
 # ---- reading and writing
 
 
-def _hook(kind, value):
+def read_hook(kind, value):
+    """msgspec's way to lengths of time."""
     if kind is Span:
         return as_span(value)
     raise NotImplementedError(kind)
@@ -222,7 +223,7 @@
     if tree.get("format") != FORMAT:
         raise ScriptError(f"{path}: format: {tree.get('format', 'missing')}; write format = {FORMAT}")
     try:
-        script = msgspec.convert(tree, Script, dec_hook=_hook)
+        script = msgspec.convert(tree, Script, dec_hook=read_hook)
     except msgspec.ValidationError as fault:
         raise ScriptError(f"{path}{_place(text, str(fault))}") from None
     problem = next(_problems(script), None)
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -557,6 +557,15 @@
     assert result == experiment.run(told, 1, lambda line: None)
 
 
+def test_an_experiment_plays_each_trouble_alone(tmp_path):
+    text = 'scripts = ["small.toml"]\nseeds = 1\n' + trouble("fail", lasts="1s", count=4, at="500ms")
+    result = experiment.run(plan(tmp_path, text), 1, lambda line: None)
+    calm, failing = result["rows"]
+    assert failing["script"] == "small.toml fail" and failing["credit"][0] < calm["credit"][0]
+    with pytest.raises(experiment.PlanError, match="nobody is called w7"):
+        plan(tmp_path, 'scripts = ["small.toml"]\n' + trouble("fail", lasts="1s", workers=["w7"]))
+
+
 def test_confidence_intervals():
     assert experiment.interval([1.0, 2.0, 3.0, 4.0]) == [2.5, pytest.approx(2.0542, abs=1e-3)]
     assert experiment.interval([2.0]) == [2.0, None] and experiment.interval([]) == [None, None]
