Tests: a hand-off given up leaves nothing for the system to send

Need: that the connection of a hand-off given up is reset, with what the system holds, was shown on the virtual ground alone. Change: one test that net/workers.py asks for it (and not where the worker answered), one that a real socket does it.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -257,6 +257,46 @@
     asyncio.run(main())
 
 
+def test_a_hand_off_given_up_leaves_nothing_for_the_system_to_send(workers):
+    # Guards against a second run of ticketed work: a path that was cut let the first through too late.
+    async def main():
+        forgotten = []
+        workers.machine.forget_unsent = forgotten.append
+        workers.list(it.ListKind.FULL, Listing(1, True, (host("s"),)))
+        streams = [Garbled(), Garbled()]
+        answers = [], [b"HTTP/1.1 503 a\r\nContent-Length: 0\r\n\r\n"]
+        for stream, parts in zip(streams, answers, strict=True):
+            async def connect(*_, stream=stream, parts=parts):
+                stream.parts = parts
+                return Connection(("127.0.0.1", 7070), stream, stream)
+            workers._connect = connect
+            item = Item(streams.index(stream), JOB, None, Effect.RERUNNABLE, workers.machine.now() + 20 * MS)
+            workers.start(item, 0, 1, item.expiry, 0)
+            while len(workers.engine.named("settle")) <= item.number:
+                await asyncio.sleep(0.001)
+        assert forgotten == streams[:1]  # not where the worker has answered
+    asyncio.run(main())
+
+
+def test_what_the_system_holds_unsent_is_dropped_with_a_reset():
+    async def main():
+        ended = asyncio.get_running_loop().create_future()
+
+        async def accept(reader, writer):
+            try:
+                ended.set_result(await reader.read(1))
+            except ConnectionResetError:
+                ended.set_result("reset")
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        Machine().forget_unsent(writer)
+        writer.transport.abort()
+        async with asyncio.timeout(10):
+            assert await ended == "reset"
+        server.close()
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize("word, outcome", [
     ([], Outcome.STALE), ([b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"], Outcome.RESET)])
 def test_a_kept_connection_that_ends_without_a_word_is_not_held_against_the_worker(workers, word, outcome):
