--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -129,6 +129,7 @@
     tells_start: bool
     queue_order: str
     reports: bool
+    live_weights: bool  # a worker's listed weight falls as it fills
     area_price: float
     waste_price: float
     late_price: float
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -52,6 +52,7 @@
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
 NEVER = float("inf")
+PURSE = 8  # work items
 BEST = 3  # rank of a worker known to be open, where it is best used
 FEW = 8  # running times of a worker kind: with so many, what they tell counts half
 DRAWS = 8  # so many in vain find two open workers in three of a fleet all but once in 6000; then it is walked
@@ -87,7 +88,7 @@
 class Out:
     """One hand-off."""
 
-    __slots__ = ("wi", "number", "worker", "sent", "answered", "elapsed", "direct", "noted")
+    __slots__ = ("wi", "number", "worker", "sent", "answered", "elapsed", "direct", "noted", "shown")
 
     def __init__(self, wi, number, worker, sent, direct):
         self.wi = wi
@@ -97,6 +98,7 @@
         self.answered = False
         self.elapsed = 0  # once answered
         self.noted = sent  # its last sign of life
+        self.shown = False  # whether a report of room, just heard, let it go there
         self.direct = direct  # to an open worker: its time is running time, without waiting
 
     def keeps_closed(self, now, T):
@@ -107,7 +109,7 @@
 class WorkItem:
     __slots__ = (
         "id", "row", "slots", "memory", "came", "expiry", "due", "course", "hos", "out", "anchor", "ended",
-        "waits", "token", "asks",
+        "waits", "token", "asks", "turn", "within", "next_try",
     )
 
     def __init__(self, event, row, now):
@@ -127,6 +129,9 @@
         self.waits = None  # while no hand-off is out: WAIT, or the worker asked
         self.token = 0  # its newest timer
         self.asks = 0
+        self.turn = 0.0  # by chance: how early it yields to work of more credit
+        self.within = True  # its account's share
+        self.next_try = 0  # before that it goes to no worker that is not open
 
     def window_end(self):
         """Up to when a repeat of a ticketed work item that may have run is dropped."""
@@ -204,6 +209,10 @@
         self.queue = {}  # work items that wait for an open worker
         self.beating = False
         self.looks = 0  # in vain, in a row
+        self.most_weight = 1.0
+        self.full = 0.0  # share of own hand-offs that are turned away
+        self.bound = {row.kind for row in self.rows}
+        self.purses = [(PURSE, 0) for _ in terms.accounts]
         self.most_slots = 1  # that any worker has shown
         self.logs = {}  # worker kind -> how many running times were seen, and the mean of their logarithms
         self.paces = {}  # worker kind -> learned: how much faster than the others
@@ -237,7 +246,9 @@
         if self.tellings and self.tellings[0][0] < now - self.tale_life:
             self._forget()
         self.actions = []
-        for event in events:
+        # Its own timers last: after a stall of its own all that came meanwhile is found with them, and an
+        # answer or a note must not be held to be missing.
+        for event in sorted(events, key=lambda event: type(event) is Rang):
             reaction = self.reactions.get(type(event))
             if reaction is not None:
                 reaction(event)
@@ -392,6 +403,8 @@
         return self._giving_up(wi)
 
     def _pick(self, wi):
+        if self._yields(wi):
+            return None
         return self._random_open(wi) or self._random_any(wi)
 
     def _should_ask(self, worker, wi):
@@ -456,7 +469,12 @@
         else:
             if worker is WAIT:
                 self.queue[wi.id] = wi
-                self._guard(wi, WAIT, self._start_by(wi) - self.now)
+                after = self._start_by(wi) - self.now
+                if self.terms.live_weights:
+                    after //= max(1, self.terms.most_hand_offs - len(wi.hos))
+                    after = max(after, 2 * self.terms.tick)
+                    wi.next_try = self.now + after
+                self._guard(wi, WAIT, after)
             elif type(worker) is Ask:
                 worker = worker.worker
                 worker.askers.append(wi)
@@ -477,7 +495,10 @@
         what, wi.waits = wi.waits, None
         if what is WAIT:
             del self.queue[wi.id]
-            self._end(wi, self._giving_up(wi))
+            if self._start_by(wi) > self.now:
+                self._advance(wi)
+            else:
+                self._end(wi, self._giving_up(wi))
         else:
             # No busy alert came: silence after a question is no sign of idleness.
             what.askers.remove(wi)
@@ -560,6 +581,9 @@
     def _hand_off(self, wi, worker):
         now = self.now
         ho = Out(wi, len(wi.hos), worker, now, self._open_slots(worker) > 0)
+        # A report that comes with answers is held against them there.
+        ho.shown = (worker.free is not None and not worker.waiting
+                    and now - worker.heard <= 2 * self.terms.tick and worker.free - worker.since >= wi.slots)
         wi.hos.append(ho)
         wi.out += 1
         worker.out.append(ho)
@@ -611,6 +635,10 @@
     def _arrived(self, event):
         wi = WorkItem(event, self.rows[event.category], self.now)
         wi.expiry = min(wi.expiry, self.last)
+        if self.terms.live_weights:
+            wi.turn = self.random.random()
+        if self.purses:
+            wi.within = self._pays(event.account)
         self.memory += (wi.memory / wi.slots - self.memory) / 32
         self.items[wi.id] = wi
         wi.course = self._course(wi)
@@ -706,6 +734,7 @@
         named, new = set(), []
         for entry in event.entries:
             named.add(entry.worker)
+            self.most_weight = max(self.most_weight, entry.weight)
             worker = self.workers.get(entry.worker)
             if worker is None:
                 worker = self.workers[entry.worker] = Worker(
@@ -753,6 +782,23 @@
 
     # ---- openness
 
+    def _pays(self, account):
+        terms = self.terms
+        rate = terms.accounts[account].allowance / terms.dispatchers / SECOND
+        left, when = self.purses[account]
+        left = min(PURSE, left + rate * (self.now - when))
+        self.purses[account] = left - (left >= 1), self.now
+        return left >= 1
+
+    def _worth(self, wi):
+        return (1.0 if wi.within else self.terms.excess_credit) * wi.row.credit / (wi.row.run or 1.0)
+
+    def _yields(self, wi):
+        if not self.terms.live_weights:
+            return False
+        best = max(row.credit / (row.run or 1.0) for row in self.rows)
+        return wi.turn * self.full ** self.terms.most_hand_offs > (self._worth(wi) / best) ** 2
+
     def _random_open(self, wi):
         """A random worker among those open, each slot counting as one of the paper's servers.
 
@@ -763,16 +809,17 @@
             self._circles()
         # So many asked in vain are evidence that none is open: silence alone no longer counts, only those do
         # that were just heard of. To walk the fleet for those few cost most of the time when all were closed.
-        first, rest = self.first, self.usable
+        first, rest = self.first if not wi.hos else self.usable, self.usable
         if wi.asks >= self.terms.most_hand_offs and not self._alone():
             first, rest = (), list(self._heard_within(2 * self.terms.tick))
         elif len(first) > DRAWS:
             # Drawn at random and taken by chance, in proportion to its open slots: the same choice as below,
             # at a cost that does not grow with the fleet.
+            self.most = self.most_weight if self.terms.live_weights else self.most_slots * self.best_pace
             for _ in range(DRAWS):
                 worker = first[int(self.random.random() * len(first))]
                 rank, slots = self._rank(worker, wi)
-                if rank == BEST and self.random.random() * self.most_slots * self.best_pace < slots:
+                if rank == BEST and self.random.random() * self.most < slots:
                     return worker
         choices = None
         if first is not rest:
@@ -795,9 +842,11 @@
     def _rank(self, worker, wi):
         """How good a choice it is, up to BEST, and what its open slots can do; nothing where it is none."""
         crossing = self.terms.area_price > 0
-        here = not crossing or worker.area == self.terms.area
+        here = not crossing or worker.area == self.terms.area or wi.hos
         if not here and self._stays(wi):
             return -1, 0
+        # Kinds that some work is bound to are left to it while others have room.
+        here = here and (wi.row.kind >= 0 or worker.kind not in self.bound)
         # Past its due time it yields to other dispatchers: they may have work in time for the last slot, and
         # only where slots are short is there none besides. Alone, what waits is served in order anyway.
         spare = self.now > wi.due and worker.slots > wi.slots and self.terms.dispatchers > 1
@@ -805,7 +854,10 @@
         if slots <= 0 or not self._allowed(worker, wi):
             return -1, 0
         sure = slots >= MOST
-        return (2 * here + sure if self.told else 2 * sure + here), slots * self.paces.get(worker.kind, 1.0)
+        amount = slots * self.paces.get(worker.kind, 1.0)
+        if self.terms.live_weights:
+            amount = worker.weight * min(1, slots)
+        return (2 * bool(here) + sure if self.told else 2 * sure + bool(here)), amount
 
     def _put_first(self):
         if self.told:
@@ -865,6 +917,11 @@
 
     def _random_any(self, wi):
         """With none open: a random worker, passing over those where it would wait too long to be in time."""
+        if self.terms.live_weights and self.doubt:
+            if self.now < wi.next_try:
+                return None
+            fit = [w for w in self._some(self.usable) if not w.refuses and self._allowed(w, wi)]
+            return self.random.choices(fit, [w.weight for w in fit])[0] if fit else None
         best, choices = wi.due - self.now, []
         for worker in () if self.doubt or self.told else self._heard_within(self.run or self.T):
             wait = self._wait_at(worker)
@@ -974,6 +1031,7 @@
             self.actions.append(CloseIdle(worker.id))
         x = event.elapsed
         ho.elapsed = x
+        self.full += ((event.outcome == Outcome.FULL) - self.full) / 16
         # Where long work does not come to its end (cold workers, time-outs), the mean of what does falls, and
         # cold workers would be pushed over by work held to be short.
         longer = x > wi.row.likely and event.outcome not in NEVER_RAN
@@ -993,7 +1051,7 @@
             self._failed(worker)
             worker.refuses = event.outcome == Outcome.CONNECT_FAILED or (
                 worker.refuses and event.outcome != Outcome.FULL)
-            if event.outcome == Outcome.FULL and self._shows_room(event.report, wi):
+            if event.outcome == Outcome.FULL and (self._shows_room(event.report, wi) or ho.shown):
                 self._contradicted()
 
     def _learn_pace(self, kind, x):
--- a/heronwinch/terms.py
+++ b/heronwinch/terms.py
@@ -158,6 +158,7 @@
         tells_start=get("family_info.tells_start", flag, False),
         queue_order=get("family_info.queue_order", str, "fifo"),
         reports=get("load_info.how", str, "none") != "none",
+        live_weights=get("weights", str, "none") == "live",
         area_price=get("prices.cross_zone", float, 0.0),
         waste_price=get("prices.waste", float, 0.0),
         late_price=get("prices.late_fail", float, 0.0),
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -41,8 +41,8 @@
     warm_up=24_000 * MS, push_multiple=4.0, push_window=2000 * MS, most_hand_offs=4, parallel_tries=False,
     may_cancel=True, may_probe=False, may_tell=False, come_back=True, longest_come_back=2000 * MS,
     connect_timeout=250 * MS, connection_idle=30_000 * MS, progress_every=1000 * MS, tells_start=False,
-    queue_order="fifo", reports=True, area_price=0.0, waste_price=0.0, late_price=0.0, probe_price=0.0,
-    connection_price=0.0, message_price=0.0, listing_price=0.0)
+    queue_order="fifo", reports=True, live_weights=False, area_price=0.0, waste_price=0.0, late_price=0.0,
+    probe_price=0.0, connection_price=0.0, message_price=0.0, listing_price=0.0)
 
 
 def entry(worker, area=0, kind=0, pod=0, standing=it.Standing.READY, started_at=0):
