--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -142,13 +142,15 @@
     __slots__ = (
         "id", "area", "kind", "pod", "standing", "started_at", "slots", "out", "busy", "since", "loose",
         "memory", "shut_until", "fails", "free", "waiting", "heard", "probing", "askers", "pushed", "others",
-        "told", "told_at", "drawn_at", "granted", "weight", "circle", "table", "table_at", "refuses",
+        "kept", "weighed", "told", "told_at", "drawn_at", "granted", "weight", "circle", "table", "table_at",
+        "refuses",
     )
 
-    def __init__(self, entry, epoch):
+    def __init__(self, entry, now, epoch):
         self.id = entry.worker
         self.slots = 0  # the most it has shown, 0 before its first report
         self.out = []  # own hand-offs
+        self.kept = []  # since when connections to it stand idle
         self.busy = 0  # the slots they ask
         self.memory = 0.0  # the memory they ask
         self.since = 0  # the slots asked by those sent since its last report
@@ -161,6 +163,7 @@
         self.drawn_at, self.granted = -NEVER, False  # whether this window's draw admits one
         self.others = 0  # slots that the other dispatchers say they hold
         self.told, self.told_at = 0, 0  # what the others were last told of own hand-offs here, and when
+        self.weighed = now  # when its weight last changed
         self.circle = None  # those of its area whose dispatchers tell each other
         self.table, self.table_at = 0, -NEVER  # slots held by others, as its circle told, and when
         self.list(entry)
@@ -212,6 +215,7 @@
         self.most_weight = 1.0
         self.full = 0.0  # share of own hand-offs that are turned away
         self.bound = {row.kind for row in self.rows}
+        self.renewed = 0.0  # learned: mean time between changes of a worker's weight
         self.purses = [(PURSE, 0) for _ in terms.accounts]
         self.most_slots = 1  # that any worker has shown
         self.logs = {}  # worker kind -> how many running times were seen, and the mean of their logarithms
@@ -242,7 +246,9 @@
     def handle(self, now, events):
         """What to do about these events, in order."""
         self.now = now
-        self.doubt = now < self.doubt_until
+        # What is renewed less often than work commonly ends has passed when it is acted on: of a worker shown
+        # as full no hand-off would ever say otherwise.
+        self.doubt = now < self.doubt_until or 0 < self.run < self.renewed
         if self.tellings and self.tellings[0][0] < now - self.tale_life:
             self._forget()
         self.actions = []
@@ -582,6 +588,8 @@
         now = self.now
         ho = Out(wi, len(wi.hos), worker, now, self._open_slots(worker) > 0)
         # A report that comes with answers is held against them there.
+        if worker.kept:
+            worker.kept.pop()
         ho.shown = (worker.free is not None and not worker.waiting
                     and now - worker.heard <= 2 * self.terms.tick and worker.free - worker.since >= wi.slots)
         wi.hos.append(ho)
@@ -738,11 +746,14 @@
             worker = self.workers.get(entry.worker)
             if worker is None:
                 worker = self.workers[entry.worker] = Worker(
-                    entry, self.now + int(self.T * self.random.random()))
+                    entry, self.now, self.now + int(self.T * self.random.random()))
                 self.near.setdefault(entry.worker & 0xFFFF, []).append(worker)
                 if entry.standing == Standing.READY:
                     new.append(worker)
             else:
+                if entry.weight != worker.weight:
+                    self.renewed = moved(self.renewed, self.now - worker.weighed, 32)
+                    worker.weighed = self.now
                 if entry.started_at != worker.started_at:
                     worker.restart(self.now + int(self.T * self.random.random()))
                 worker.list(entry)
@@ -816,11 +827,17 @@
             # Drawn at random and taken by chance, in proportion to its open slots: the same choice as below,
             # at a cost that does not grow with the fleet.
             self.most = self.most_weight if self.terms.live_weights else self.most_slots * self.best_pace
+            spare = None
             for _ in range(DRAWS):
                 worker = first[int(self.random.random() * len(first))]
                 rank, slots = self._rank(worker, wi)
                 if rank == BEST and self.random.random() * self.most < slots:
-                    return worker
+                    if not self.terms.live_weights or worker.kept and (
+                            self.now - worker.kept[-1] < self.terms.connection_idle):
+                        return worker
+                    spare = spare or worker
+            if spare is not None:
+                return spare
         choices = None
         if first is not rest:
             choices, weights = self._best_open(first, wi, BEST)
@@ -1024,7 +1041,9 @@
         worker.memory -= wi.memory
         if self.told:
             self.untold[worker.id] = worker
-        if (not worker.out and not self.terms.connection_price
+        if event.outcome not in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET):
+            worker.kept.append(self.now)
+        if (not worker.out and not self.terms.connection_price and not self.terms.live_weights
                 and self.gap * len(self.usable) > self.terms.connection_idle):
             # Kept, its connection would time out before it is likely used again; idle ones of hundreds of
             # dispatchers leave a worker none to accept.
