--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -121,6 +121,10 @@
         self.expiry = now + event.time_left
         # Due time counts from the client's first try: a later one has less time left of the same expiry.
         self.due = self.expiry - row.expiry + row.due_time
+        if event.time_left < row.due_time + row.stretch * row.run:
+            # Less than a first try takes is no later try's, which would have been answered long ago: its client
+            # is in a hurry, and was turned away at once with every worker open.
+            self.due = self.expiry
         self.course = None
         self.hos = []
         self.out = 0
@@ -436,7 +440,10 @@
         """The last moment at which a hand-off is likely to earn credit."""
         # Running times are heavy-tailed: most are far under the mean, and clients that are turned away sooner
         # meet others that are full or stopping too.
-        last = wi.expiry - int(wi.row.run or self.run) // 2 if wi.row.late_credit else wi.due
+        last = wi.expiry - int(wi.row.run or self.run) // 2
+        if not wi.row.late_credit:
+            # Its due time grows with its running time, most of which may still be to come.
+            last = min(last, wi.due + int(max(0, wi.row.stretch - 1) * wi.row.run / 2))
         if wi.anchor is not None and wi.row.effect == Effect.TICKETED:
             # Waiting must not outlast the window in which its repeat is dropped.
             last = min(last, wi.window_end())
