--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -120,7 +120,6 @@
     parallel_tries: bool
     may_cancel: bool
     may_probe: bool
-    may_tell: bool
     come_back: bool
     longest_come_back: int
     connect_timeout: int
@@ -135,7 +134,6 @@
     late_price: float
     probe_price: float
     connection_price: float
-    message_price: float
     listing_price: float
 
 
--- a/heronwinch/plan.py
+++ b/heronwinch/plan.py
@@ -52,7 +52,7 @@
             sockets=int(tree.get("limits", {}).get("sockets", 1024)),
             memory_mb=int(tree.get("limits", {}).get("memory_mb", 192)),
             known=as_listing(tree.get("known") or {"seq": 0, "whole": True, "hosts": []}),
-            terms=read_terms(values)._replace(may_tell=False),  # no messages between dispatchers on sockets
+            terms=read_terms(values),
             names=read_names(values),
         )
     except (SettingsError, BadList, PlanError) as fault:
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -9,7 +9,6 @@
 from collections import deque, namedtuple
 from math import ceil, exp, log
 from random import Random
-from struct import Struct
 
 from heronwinch.interface import (
     NEVER_RAN,
@@ -24,7 +23,6 @@
     Forgotten,
     Group,
     HandOff,
-    Heard,
     Left,
     Listed,
     ListKind,
@@ -37,18 +35,12 @@
     Standing,
     Stopping,
     Subscribe,
-    Tell,
     WriteOff,
 )
 
-# Timer tokens: the next call to discovery, the next look at the waiting work items, the next tale to the
-# other dispatchers, the last moment of a planned stop; a work item's own count up from there.
-ASK_AGAIN, BEAT, TALE, TELL, LAST, OWN = 0, 1, 2, 3, 4, 5
-TOLD = Struct("<HB")  # a worker, by the last bits of its id, and the slots that the teller holds there
-# Beside the teller's area in the first byte: tell me where you are and what you hold; this is all that is
-# held at these workers, whoever holds it; tell me that of your circle.
-HELLO, TABLE, WANT = 0x80, 0x40, 0x20
-TALE_BYTES = 16  # of a short message, its head included
+# Timer tokens: the next call to discovery, the next look at the waiting work items, the last moment of a
+# planned stop; a work item's own count up from there.
+ASK_AGAIN, BEAT, LAST, OWN = 0, 1, 2, 3
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
 NEVER = float("inf")
@@ -121,9 +113,9 @@
         self.expiry = now + event.time_left
         # Due time counts from the client's first try: a later one has less time left of the same expiry.
         self.due = self.expiry - row.expiry + row.due_time
-        if event.time_left < row.due_time + row.stretch * row.run:
-            # Less than a first try takes is no later try's, which would have been answered long ago: its client
-            # is in a hurry, and was turned away at once with every worker open.
+        if event.time_left < min(row.due_time + row.stretch * row.run, row.expiry / 2):
+            # Less than a first try takes is no later try's, which would have been answered long ago: its
+            # client is in a hurry, and was turned away at once with every worker open.
             self.due = self.expiry
         self.course = None
         self.hos = []
@@ -145,9 +137,8 @@
 class Worker:
     __slots__ = (
         "id", "area", "kind", "pod", "standing", "started_at", "slots", "out", "busy", "since", "loose",
-        "memory", "shut_until", "fails", "free", "waiting", "heard", "probing", "askers", "pushed", "others",
-        "kept", "weighed", "told", "told_at", "drawn_at", "granted", "weight", "circle", "table", "table_at",
-        "refuses",
+        "memory", "shut_until", "fails", "free", "waiting", "heard", "probing", "askers", "pushed",
+        "kept", "weighed", "drawn_at", "granted", "weight", "refuses",
     )
 
     def __init__(self, entry, now, epoch):
@@ -165,11 +156,7 @@
         self.askers = []  # work items that asked for its busy alert
         self.pushed = deque()  # (when, work) sent while it was cold
         self.drawn_at, self.granted = -NEVER, False  # whether this window's draw admits one
-        self.others = 0  # slots that the other dispatchers say they hold
-        self.told, self.told_at = 0, 0  # what the others were last told of own hand-offs here, and when
         self.weighed = now  # when its weight last changed
-        self.circle = None  # those of its area whose dispatchers tell each other
-        self.table, self.table_at = 0, -NEVER  # slots held by others, as its circle told, and when
         self.list(entry)
         self.restart(epoch)
 
@@ -193,25 +180,10 @@
         self.rows = [Row(category) for category in terms.categories]
         self.workers = {}  # every worker ever listed
         self.usable = []  # those listed as ready
-        self.first = []  # of these, where the best choices are: the own circle, the own area, or all
+        self.first = []  # of these, where the best choices are: the own area, or all
         self.items = {}
         self.timers = {}  # token -> work item that waits, or hand-off that is watched
         self.token = OWN
-        self.news = False  # a hand-off that the others were not told of
-        self.untold = {}  # workers whose own hand-offs changed since the others were told
-        self.near = {}  # last bits of an id -> the workers that have them
-        self.tales = {}  # (another dispatcher, worker) -> the slots it holds there and when it told so
-        self.tale_life = 8 * SECOND  # learned: so long a tale that is not told again is believed
-        self.tellings = deque()  # (when, the same two), to forget what is not told again
-        self.met = {}  # another dispatcher -> its area
-        self.circle = (terms.area, 0)
-        self.peers = {}  # circle -> the other dispatchers in it
-        self.outside = [], []  # those in other circles, of other areas and of this
-        self.mixed = False  # the circles have to be made anew
-        affordable = MOST * 256 / TALE_BYTES / terms.message_price if terms.message_price else NEVER
-        self.most_fellows = max(1.0, affordable)
-        self.told = False  # others tell what they hold
-        self.tale_due = False
         self.ask_time = self.terms.connect_timeout // 4  # learned: how long a busy alert takes
         self.queue = {}  # work items that wait for an open worker
         self.beating = False
@@ -243,7 +215,7 @@
         self.reactions = {
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
-            Heard: self._heard, Stopping: self._stopping, Forgotten: self._forgotten,
+            Stopping: self._stopping, Forgotten: self._forgotten,
             Changed: self._changed,
         }
 
@@ -253,8 +225,6 @@
         # What is renewed less often than work commonly ends has passed when it is acted on: of a worker shown
         # as full no hand-off would ever say otherwise.
         self.doubt = now < self.doubt_until or 0 < self.run < self.renewed
-        if self.tellings and self.tellings[0][0] < now - self.tale_life:
-            self._forget()
         self.actions = []
         # Its own timers last: after a stall of its own all that came meanwhile is found with them, and an
         # answer or a note must not be held to be missing.
@@ -268,132 +238,6 @@
             self.touched = []
         return self.actions
 
-    # ---- messages between dispatchers, where allowed: own record is each one's best knowledge
-
-    def _circles(self):
-        """Dispatchers of an area in circles, each with its share of the area's workers, dealt out by weight.
-        What a hand-off holds is told in its worker's circle only, and a circle is as large as a hundredth of
-        a work item's credit pays for: told to all, messages cost the square of the dispatchers."""
-        self.mixed = False
-        areas = {self.terms.area: [self.terms.me]}
-        for peer, area in self.met.items():
-            areas.setdefault(area, []).append(peer)
-        counts, self.peers, self.outside = {}, {}, ([], [])
-        for area, peers in areas.items():
-            counts[area] = max(1, ceil(len(peers) / self.most_fellows))
-            for at, peer in enumerate(sorted(peers)):
-                circle = (area, at % counts[area])
-                if peer == self.terms.me:
-                    self.circle = circle
-                else:
-                    self.peers.setdefault(circle, []).append(peer)
-        for circle, peers in self.peers.items():
-            if circle != self.circle:
-                self.outside[circle[0] == self.terms.area].extend(peers)
-        dealt = {}
-        for worker in sorted(self.workers.values(), key=lambda w: (w.weight, w.id)):
-            at = dealt[worker.area] = dealt.get(worker.area, -1) + 1
-            worker.circle = (worker.area, at % counts.get(worker.area, 1))
-        self._put_first()
-
-    def _tell(self):
-        """Tell what own hand-offs hold, in the circles of their workers."""
-        if self.mixed:
-            self._circles()
-        old = self.now - self.tale_life // 2
-        changed = [worker for worker in self.untold.values()
-                   if worker.busy != worker.told or worker.busy and worker.told_at < old]
-        self.untold, self.news = {}, False
-        if not changed:
-            return
-        circles = {}
-        for worker in changed:
-            worker.told, worker.told_at = worker.busy, self.now
-            circles.setdefault(worker.circle, []).append(worker)
-        for circle, workers in circles.items():
-            for body in self._tale(workers):
-                self.actions += [Tell(peer, body) for peer in self.peers.get(circle, ())]
-
-    def _want(self):
-        """With none open in its circle: ask a dispatcher of another for its table. A worker's own report may
-        be a second old, and hundreds of dispatchers that believe the same one swamp its worker."""
-        far, near = self.outside
-        groups = [near] if near else []
-        if far and not (near and all(self._stays(wi) for wi in self.queue.values())):
-            groups.append(far)
-        for group in groups:
-            self.actions.append(Tell(self.random.choice(group), bytes([self.terms.area | WANT])))
-
-    def _tale(self, workers, what=0):
-        for at in range(0, len(workers), 80):
-            yield bytes([self.terms.area | what]) + b"".join(
-                TOLD.pack(w.id & 0xFFFF, min(255, int(w.busy + (w.others if what else 0))))
-                for w in workers[at:at + 80])
-
-    def _retell(self):
-        """Slots that came free are told with the next hand-off or here; what lasts is, before it is lost."""
-        life = self.tale_life // 2
-        held = [w for w in self.workers.values() if w.out]
-        for worker in held:
-            if self.now - worker.told_at > life:
-                self.untold[worker.id] = worker
-        if self.untold and not self.news:
-            self._tell()
-        self.tale_due = bool(held)
-        if held:
-            self.actions.append(SetTimer(int(self.run or self.T), TALE))
-
-    def _forget(self):
-        """A tale not told again says nothing any more once work of that age is rare: its teller died, or the
-        message that took it back was lost."""
-        last = self.now - self.tale_life
-        while self.tellings and self.tellings[0][0] < last:
-            when, key = self.tellings.popleft()
-            slots, told_at = self.tales.get(key, (0, 0))
-            if told_at == when:
-                del self.tales[key]
-            if told_at == when and key[1] in self.workers:
-                self.workers[key[1]].others -= slots
-                self.touched.append(self.workers[key[1]])
-
-    def _heard(self, event):
-        sender, body = event.sender, event.body
-        if not body:
-            return
-        area = body[0] & ~(HELLO | TABLE | WANT)
-        if sender not in self.met:
-            self.met[sender] = area
-            self.told = self.mixed = True
-        if body[0] & HELLO:
-            here = [w for w in self.workers.values() if w.out and w.area == area]
-            tales = list(self._tale(here)) or [bytes([self.terms.area])]
-            self.actions += [Tell(sender, tale) for tale in tales]
-        if body[0] & WANT:
-            self.actions += [Tell(sender, tale) for tale in self._tale(self.first, TABLE)]
-        tales, now, near = self.tales, self.now, self.near
-        for bits, slots in TOLD.iter_unpack(body[1:len(body) - (len(body) - 1) % TOLD.size]):
-            for worker in near.get(bits, ()):
-                if body[0] & TABLE:
-                    worker.table, worker.table_at = max(0, slots - worker.busy), now
-                    self.touched.append(worker)
-                    continue
-                key = (sender, worker.id)
-                before = tales.pop(key, (0, 0))[0]
-                worker.others += slots - before
-                if slots < before:
-                    self.touched.append(worker)
-                if slots:
-                    tales[key] = (slots, now)
-                    self.tellings.append((now, key))
-
-    def _others(self, worker):
-        """Slots that the other dispatchers say they hold there; None where nobody tells."""
-        if not self.told:
-            return None
-        if worker.circle == self.circle:
-            return worker.others
-        return worker.table if self.now - worker.table_at < (self.run or self.T) else None
-
     # ---- the course of one work item
 
     def _course(self, wi):
@@ -421,8 +265,8 @@
         return wi.asks < self.terms.most_hand_offs and not self._known(worker)
 
     def _alone(self):
-        """Whether own record and the others' tales are all there is to know, or asking is of no use."""
-        return not self.terms.may_probe or self.terms.dispatchers == 1 or self.doubt or self.told
+        """Whether own record is all there is to know, or asking is of no use."""
+        return not self.terms.may_probe or self.terms.dispatchers == 1 or self.doubt
 
     def _known(self, worker):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
@@ -484,9 +328,7 @@
                 self.queue[wi.id] = wi
                 after = self._start_by(wi) - self.now
                 if self.terms.live_weights:
-                    after //= max(1, self.terms.most_hand_offs - len(wi.hos))
-                    after = max(after, 2 * self.terms.tick)
-                    wi.next_try = self.now + after
+                    after = min(after, max(2 * self.terms.tick, wi.next_try - self.now))
                 self._guard(wi, WAIT, after)
             elif type(worker) is Ask:
                 worker = worker.worker
@@ -545,15 +387,11 @@
                     break
         if self.queue and not self.beating:
             # One look for each slot likely to come free somewhere, a pause twice as long after each in vain,
-            # up to an epoch: many dispatchers that wait would ask for each such slot many times. Tables show
-            # many workers at once, and age faster.
+            # up to an epoch: many dispatchers that wait would ask for each such slot many times.
             self.beating = True
-            if self.told and not self.looks:
-                self._want()
             slots = sum(worker.slots or 1 for worker in self.usable) or 1
             pause = max(2 * self.terms.tick, int((self.run or self.T) / slots)) << self.looks
-            longest = min(self.T, (self.run or self.T) / 4) if self.told else self.T
-            self.actions.append(SetTimer(max(2 * self.terms.tick, int(min(pause, longest))), BEAT))
+            self.actions.append(SetTimer(max(2 * self.terms.tick, min(pause, self.T)), BEAT))
         elif not self.queue:
             self.looks = 0
 
@@ -566,9 +404,7 @@
         self.beating = False
         self.look = True
         self.looks = min(self.looks + 1, 16)
-        if self.queue and self.told:
-            self._want()
-        elif self.queue and self.terms.may_probe and not self.doubt:
+        if self.queue and self.terms.may_probe and not self.doubt:
             closed = [worker for worker in self._some(self.usable) if not worker.probing
                       and worker.shut_until <= self.now and self._open_slots(worker) < 1]
             if closed:
@@ -605,15 +441,6 @@
         worker.busy += wi.slots
         worker.since += wi.slots
         worker.memory += wi.memory
-        if self.told:
-            self.untold[worker.id] = worker
-            if not self.news:
-                # Not at once: what is turned away is answered within two ticks, and need not be told at all.
-                self.news = True
-                self.actions.append(SetTimer(2 * self.terms.tick, TELL))
-            if not self.tale_due:
-                self.tale_due = True
-                self.actions.append(SetTimer(int(self.run or self.T), TALE))
         if self._is_cold(worker):
             worker.pushed.append((now, self._work(wi)))
         if self.last_sent:
@@ -687,10 +514,6 @@
             self.actions.append(Subscribe(True))
         elif event.token == BEAT:
             self._beat()
-        elif event.token == TALE:
-            self._retell()
-        elif event.token == TELL:
-            self._tell()
         elif event.token == LAST:
             for wi in list(self.items.values()):
                 if not wi.ended:
@@ -754,7 +577,6 @@
             if worker is None:
                 worker = self.workers[entry.worker] = Worker(
                     entry, self.now, self.now + int(self.T * self.random.random()))
-                self.near.setdefault(entry.worker & 0xFFFF, []).append(worker)
                 if entry.standing == Standing.READY:
                     new.append(worker)
             else:
@@ -770,22 +592,19 @@
                     worker.standing = Standing.GONE
         if self.terms.may_probe:
             # How many slots new workers have is known before their first epoch: asked only before a hand-off,
-            # it is not while reports are late. Of a large fleet a few are asked, unless others tell; all of
-            # them cost hundreds of dispatchers two probes a work item.
-            for worker in new if self.terms.may_tell else self._some(new):
+            # it is not while reports are late. Of a large fleet a few are asked; all of them cost hundreds of
+            # dispatchers two probes a work item.
+            for worker in self._some(new):
                 self._probe(worker)
         self.usable = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
         self._put_first()
-        self.look, self.mixed = True, self.terms.may_tell
+        self.look = True
         if event.kind == ListKind.CACHED:
             if not self.terms.pushed_list:
                 self.actions.append(Subscribe(True))
-            if self.terms.may_tell and self.terms.dispatchers > 1:
-                self.actions.append(Tell(-1, bytes([self.terms.area | HELLO])))
 
     def _forgotten(self, event):
         worker = self.workers.pop(event.worker)
-        self.near[worker.id & 0xFFFF].remove(worker)
         self.reports.pop(worker.id, None)
 
     def _ask_again(self):
@@ -823,8 +642,6 @@
         Where crossing areas has a price, those of this area come first, and a work item waits for one of
         them as long as the chance to be in time that it loses by waiting is worth less than the price.
         """
-        if self.mixed:
-            self._circles()
         # So many asked in vain are evidence that none is open: silence alone no longer counts, only those do
         # that were just heard of. To walk the fleet for those few cost most of the time when all were closed.
         first, rest = self.first if not wi.hos else self.usable, self.usable
@@ -881,12 +698,10 @@
         amount = slots * self.paces.get(worker.kind, 1.0)
         if self.terms.live_weights:
             amount = worker.weight * min(1, slots)
-        return (2 * bool(here) + sure if self.told else 2 * sure + bool(here)), amount
+        return 2 * sure + bool(here), amount
 
     def _put_first(self):
-        if self.told:
-            self.first = [worker for worker in self.usable if worker.circle == self.circle]
-        elif self.terms.area_price > 0:
+        if self.terms.area_price > 0:
             self.first = [worker for worker in self.usable if worker.area == self.terms.area]
         else:
             self.first = self.usable
@@ -899,7 +714,7 @@
 
     def _open_slots(self, worker, asked=1):
         """How many of a worker's slots are open, 0 if fewer than asked: by own record at their epochs, and no
-        more than it reports or the others tell."""
+        more than it reports."""
         now = self.now
         if worker.shut_until > now:
             return 0
@@ -918,12 +733,6 @@
         own = slots - taken
         if own < asked and (taken or worker.slots):
             return 0
-        # With no other dispatcher nobody tells, and reports decide.
-        others = self._others(worker)
-        if others is not None:
-            return own - others if own - others >= asked else 0
-        if self.told:
-            return 0  # outside its circle, and no table speaks of it
         if worker.free is None or not self._is_fresh(worker):
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
             part = max(1, slots / self.terms.dispatchers)
@@ -944,10 +753,12 @@
         if self.terms.live_weights and self.doubt:
             if self.now < wi.next_try:
                 return None
+            left = max(0, self._start_by(wi) - self.now)
+            wi.next_try = self.now + left // max(1, self.terms.most_hand_offs - len(wi.hos))
             fit = [w for w in self._some(self.usable) if not w.refuses and self._allowed(w, wi)]
             return self.random.choices(fit, [w.weight for w in fit])[0] if fit else None
         best, choices = wi.due - self.now, []
-        for worker in () if self.doubt or self.told else self._heard_within(self.run or self.T):
+        for worker in () if self.doubt else self._heard_within(self.run or self.T):
             wait = self._wait_at(worker)
             if wait <= best and self._allowed(worker, wi):
                 if wait < best:
@@ -960,8 +771,8 @@
         """How long a work item is likely to wait behind those that a worker holds."""
         if worker.shut_until > self.now or worker.refuses or not worker.slots:
             return NEVER
-        if worker.free is None or not self._is_fresh(worker) or self.told:
-            return NEVER  # blind; or the others tell of a freed slot at once, so waiting here loses nothing
+        if worker.free is None or not self._is_fresh(worker):
+            return NEVER  # blind
         held = worker.slots - worker.free + worker.waiting + worker.since + len(worker.askers)
         return max(0, held + 1 - worker.slots) * self.run / worker.slots
 
@@ -990,10 +801,8 @@
 
     def _has_memory(self, worker, wi):
         """A worker has one unit of memory a slot; what others' work takes there is taken to be the mean."""
-        others = self._others(worker)
-        if others is None:
-            held = worker.slots - worker.free + worker.since if worker.free is not None else 0
-            others = max(0, held - worker.busy) if self._is_fresh(worker) else 0
+        held = worker.slots - worker.free + worker.since if worker.free is not None else 0
+        others = max(0, held - worker.busy) if self._is_fresh(worker) else 0
         return wi.memory <= worker.slots - worker.memory - others * self.memory
 
     # ---- cold workers
@@ -1046,8 +855,6 @@
         worker.loose.append(ho)
         worker.busy -= wi.slots
         worker.memory -= wi.memory
-        if self.told:
-            self.untold[worker.id] = worker
         if event.outcome not in (Outcome.CONNECT_FAILED, Outcome.TIMEOUT, Outcome.RESET):
             worker.kept.append(self.now)
         if (not worker.out and not self.terms.connection_price and not self.terms.live_weights
@@ -1071,7 +878,6 @@
             if ho.direct or not self.run:
                 wi.row.run = moved(wi.row.run, x, 16)
                 self.run = moved(self.run, x, 16)
-                self.tale_life = 8 * int(self.run)
                 self._learn_pace(worker.kind, log(x / wi.row.run))
         elif event.outcome not in (Outcome.CANCELLED, Outcome.MOOT, Outcome.STALE):
             self._failed(worker)
--- a/heronwinch/terms.py
+++ b/heronwinch/terms.py
@@ -149,7 +149,6 @@
         parallel_tries=get("limits.parallel_tries", flag, False),
         may_cancel=get("limits.may_cancel", flag, False),
         may_probe=get("limits.probes", flag, False),
-        may_tell=get("limits.peers", flag, False),
         come_back=get("limits.retry_after", flag, False),
         longest_come_back=get("limits.max_retry_after_ns", whole, 0),
         connect_timeout=get("limits.dial_timeout_ns", whole, 0),
@@ -164,6 +163,5 @@
         late_price=get("prices.late_fail", float, 0.0),
         probe_price=get("prices.probe", float, 0.0),
         connection_price=get("prices.handshake", float, 0.0),
-        message_price=get("prices.peer", float, 0.0),
         listing_price=get("prices.discovery", float, 0.0),
     )
