Program: weights, report and account settings checked; heronwinch move; stand-ins that tell probes alone

A bad share in a list no longer costs the whole list, and the module passes over weights that are not above 0. Sockets name no account: counted for none, as all for the first would have held its share against everybody.

--- a/heronwinch/cli.py
+++ b/heronwinch/cli.py
@@ -1,7 +1,9 @@
 """The command line. Without arguments `python -m heronwinch` goes on serving and imports none of this."""
 
 import json
+import os
 import sys
+import tempfile
 
 import click
 
@@ -228,6 +230,73 @@
     sys.exit(BROKEN if found["failures"] else FAILED if found["crashes"] else KEPT)
 
 
+@main.command()
+@click.argument("old")
+@click.option("-o", "--output", "new", metavar="NEW", help="Where the counterpart goes.")
+@click.option("--dry-run", is_flag=True, help="Write nothing, show the same.")
+@click.option("--force", is_flag=True, help="Write over a file that stands there.")
+@click.option("--areas", default="", metavar="A,B", help="The locations, in the order of their numbers.")
+@click.option("--area", default=None, help="The location of this dispatcher.")
+@click.option("--dispatchers", type=click.IntRange(1), default=None, help="How many there are.")
+@click.option("--fields", default="", metavar="X0,..", help="What load reports hold, in their order.")
+def move(old, new, dry_run, force, areas, area, dispatchers, fields):
+    """Bring a configuration to deployments whose workers report to probes alone and whose weights move.
+
+    Prints what is changed and what could not be carried over. Exit status 2 where the file cannot be moved.
+    """
+    from heronwinch.moving import MoveError
+    from heronwinch.moving import move as moved
+    from heronwinch.plan import PlanError, read_plan
+
+    if not new and not dry_run:
+        raise Bad("nowhere to write; name a file with -o, or use --dry-run")
+    try:
+        with open(old, encoding="utf-8") as file:
+            tree = json.load(file)
+        result = moved(tree, areas.split(",") if areas else (), area, dispatchers,
+                       fields.split(",") if fields else ())
+    except (OSError, ValueError, RecursionError) as fault:
+        mend = "" if isinstance(fault, MoveError) else "; give a configuration in JSON that can be read"
+        raise Bad(f"{old}: {fault}{mend}") from None
+    text = json.dumps(result.tree, indent=2) + "\n"
+    try:
+        read_plan({"RELAY_CONFIG": old}, read=lambda path: text)
+    except PlanError as fault:
+        raise Bad(f"{fault}; mend it in the old file") from None
+    if not result.changed and tree == result.tree:
+        click.echo("nothing is to be moved")
+        return
+    if not dry_run:
+        write_whole(new, text, force)
+    for line in result.changed:
+        click.echo(f"changed  {line}")
+    for line in result.left:
+        click.echo(f"left     {line}")
+
+
+def write_whole(path, text, force):
+    """The whole file or none of it, over another only where that is said."""
+    folder = os.path.dirname(os.path.abspath(path))
+    try:
+        number, draft = tempfile.mkstemp(dir=folder, prefix=".move-")
+        try:
+            with open(number, "w", encoding="utf-8") as file:
+                file.write(text)
+                file.flush()
+                os.fsync(file.fileno())
+            if force:
+                os.replace(draft, path)
+            else:
+                os.link(draft, path)  # unlike a rename it fails where a file stands
+        finally:
+            if os.path.lexists(draft):
+                os.unlink(draft)
+    except FileExistsError:
+        raise Bad(f"{path}: there is a file; write elsewhere, or over it with --force") from None
+    except OSError as fault:
+        raise Bad(f"cannot write {path}: {fault.strerror}; choose a place that can be written") from None
+
+
 @main.command()
 @click.argument("plan")
 @click.option(
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -75,7 +75,7 @@
     kind: int
     pod: int
     standing: int
-    weight: float
+    weight: float  # one that is not above 0 says nothing
     started_at: int  # 0: long ago
 
 
@@ -151,7 +151,7 @@
 class Arrived(NamedTuple):
     wi: int
     category: int
-    account: int
+    account: int  # -1 where it is not told
     key: int
     time_left: int  # until its expiry
     expected: int  # likely running time, 0 where unknown
@@ -276,11 +276,6 @@
     worker: int
 
 
-class Tell(NamedTuple):
-    dispatcher: int  # -1: every other one
-    body: bytes
-
-
 class Log(NamedTuple):
     text: str
 
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -64,7 +64,6 @@
             it.Subscribe: lambda a: self.discovery.subscribe(a.on),
             it.Fetch: lambda a: self.discovery.fetch(),
             it.Log: lambda a: log.info("module", text=a.text),
-            it.Tell: lambda a: self.watch.count("untold"),  # sockets have no messages between dispatchers
         }
 
     def door(self):
@@ -141,7 +140,8 @@
         self.count += 1
         item = self.items[self.count] = Item(self.count, job, client, row.effect, expiry)
         self._set_alarm(item)
-        self.post(it.Arrived(item.number, category, 0, self.keys.take(job.key), time_left, 0,
+        # No header names the account: to count all for the first would hold its share against everybody.
+        self.post(it.Arrived(item.number, category, -1, self.keys.take(job.key), time_left, 0,
                              job.slots, job.memory, job.repeated, False))
         return item
 
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -143,6 +143,7 @@
 
     def __init__(self, entry, now, epoch):
         self.id = entry.worker
+        self.weight = 1.0
         self.slots = 0  # the most it has shown, 0 before its first report
         self.out = []  # own hand-offs
         self.kept = []  # since when connections to it stand idle
@@ -162,7 +163,8 @@
 
     def list(self, entry):
         self.area, self.kind, self.pod = entry.area, entry.kind, entry.pod
-        self.weight = entry.weight
+        if 0 < entry.weight < NEVER:  # anything else says nothing: the one before it goes on
+            self.weight = entry.weight
         self.standing, self.started_at = entry.standing, entry.started_at
 
     def restart(self, epoch):
@@ -328,6 +330,8 @@
                 self.queue[wi.id] = wi
                 after = self._start_by(wi) - self.now
                 if self.terms.live_weights:
+                    # Also what yields: looked at every two ticks, thousands that wait cost all the CPU.
+                    self._space(wi)
                     after = min(after, max(2 * self.terms.tick, wi.next_try - self.now))
                 self._guard(wi, WAIT, after)
             elif type(worker) is Ask:
@@ -479,7 +483,7 @@
         wi.expiry = min(wi.expiry, self.last)
         if self.terms.live_weights:
             wi.turn = self.random.random()
-        if self.purses:
+        if self.purses and event.account >= 0:
             wi.within = self._pays(event.account)
         self.memory += (wi.memory / wi.slots - self.memory) / 32
         self.items[wi.id] = wi
@@ -572,7 +576,6 @@
         named, new = set(), []
         for entry in event.entries:
             named.add(entry.worker)
-            self.most_weight = max(self.most_weight, entry.weight)
             worker = self.workers.get(entry.worker)
             if worker is None:
                 worker = self.workers[entry.worker] = Worker(
@@ -580,12 +583,14 @@
                 if entry.standing == Standing.READY:
                     new.append(worker)
             else:
-                if entry.weight != worker.weight:
-                    self.renewed = moved(self.renewed, self.now - worker.weighed, 32)
-                    worker.weighed = self.now
+                before = worker.weight
                 if entry.started_at != worker.started_at:
                     worker.restart(self.now + int(self.T * self.random.random()))
                 worker.list(entry)
+                if worker.weight != before:
+                    self.renewed = moved(self.renewed, self.now - worker.weighed, 32)
+                    worker.weighed = self.now
+            self.most_weight = max(self.most_weight, worker.weight)
         if event.kind != ListKind.DELTA:
             for worker in self.workers.values():
                 if worker.id not in named:
@@ -748,13 +753,18 @@
         """Whether its last report still says something: younger than work items commonly run."""
         return not self.doubt and self.now - worker.heard < (self.run or self.T)
 
+    def _space(self, wi):
+        """What hand-offs a work item has left are spread over the time it has left."""
+        if wi.next_try <= self.now:
+            left = max(0, self._start_by(wi) - self.now)
+            wi.next_try = self.now + left // max(1, self.terms.most_hand_offs - len(wi.hos))
+
     def _random_any(self, wi):
         """With none open: a random worker, passing over those where it would wait too long to be in time."""
         if self.terms.live_weights and self.doubt:
             if self.now < wi.next_try:
                 return None
-            left = max(0, self._start_by(wi) - self.now)
-            wi.next_try = self.now + left // max(1, self.terms.most_hand_offs - len(wi.hos))
+            self._space(wi)
             fit = [w for w in self._some(self.usable) if not w.refuses and self._allowed(w, wi)]
             return self.random.choices(fit, [w.weight for w in fit])[0] if fit else None
         best, choices = wi.due - self.now, []
--- a/heronwinch/protocol/discovery.py
+++ b/heronwinch/protocol/discovery.py
@@ -97,9 +97,12 @@
 
 
 def _host(entry):
-    weight = float(entry.get("share", 1.0))
-    if not 0 <= weight < 1e9:
-        raise ValueError("share is out of range")
+    try:
+        weight = float(entry.get("share", 1.0))
+    except (TypeError, ValueError, OverflowError):
+        weight = 0.0
+    if not 0 < weight < 1e9:
+        weight = 0.0  # it says nothing: one bad figure must not cost the news of all the others
     return Host(
         host=str(entry["host"]), address=as_address(entry["dial"]), area=str(entry.get("site", "")),
         kind=str(entry.get("class", "")), pod=int(entry.get("block", 0)),
--- a/heronwinch/rehearsal/script.py
+++ b/heronwinch/rehearsal/script.py
@@ -60,7 +60,7 @@
     cancel_stops: bool = True
     pause_every: Span = Span(0)
     pause_for: Span = Span(0)
-    reports: Literal["answers", "none"] = "answers"
+    reports: Literal["answers", "probe", "none"] = "answers"
     report_every: Span = Span(0)
     report_delay: Span = Span(0)
     report_noise: Share = 0.0
--- a/heronwinch/rehearsal/stage.py
+++ b/heronwinch/rehearsal/stage.py
@@ -72,7 +72,7 @@
             self.model,
             stage.ground.clock,
             stage.kinds,
-            fleet.reports != "none",
+            fleet.reports,
             fleet.probes,
             fleet.connections,
             int(fleet.idle),
--- a/heronwinch/terms.py
+++ b/heronwinch/terms.py
@@ -1,12 +1,15 @@
 """The operators' settings turned into the terms of an instance: one reader for the simulator's lines
 (path=value) and for a real dispatcher's nested JSON, which hold the same."""
 
+from math import inf
 from typing import NamedTuple
 
 from heronwinch.interface import Account, Category, Effect, Group, Terms
 
 EFFECTS = {"retryable": Effect.RERUNNABLE, "dedup": Effect.TICKETED, "fragile": Effect.EXCLUSIVE}
 GROUPS = {"all": Group.ALL, "zone": Group.AREA, "cell": Group.POD}
+WEIGHTS = {"none": False, "nominal": False, "rough": False, "live": True}  # whether they move with load
+REPORTS = {"none": False, "answers": True, "probe": True}
 REQUIRED = object()
 
 
@@ -63,7 +66,9 @@
         try:
             return read(self.values[key])
         except (ValueError, KeyError, OverflowError):
-            raise SettingsError(f"settings: unusable value for {key}: {self.values[key]!r}") from None
+            known = getattr(read, "__self__", None)  # of a table of words
+            mend = f"; write {', '.join(known)}" if isinstance(known, dict) else ""
+            raise SettingsError(f"settings: unusable value for {key}: {self.values[key]!r}{mend}") from None
 
     def each(self, key, read, count, default):
         """A list with one value a category; shorter or absent lists are filled with the default."""
@@ -78,6 +83,13 @@
         return round(float(text))
 
 
+def amount(text: str) -> float:
+    value = float(text)
+    if not 0 <= value < inf:
+        raise ValueError(text)
+    return value
+
+
 def flag(text: str) -> bool:
     return {"true": True, "false": False}[text]
 
@@ -118,14 +130,14 @@
             due_time=get(at + "due_time_ns", whole),
             stretch=get(at + "aim_stretch", float, stretches[i]),
             expiry=get(at + "expiry_ns", whole),
-            credit=get(at + "credit", float, 1.0),
+            credit=get(at + "credit", amount, 1.0),
             late_credit=get(at + "late_credit", float, 0.0),
             kind=kinds[i],
             priority=priorities[i],
         ))
     accounts = tuple(
-        Account(share=get(f"realms.{i}.share", float, 0.0),
-                allowance=get(f"realms.{i}.allowance_per_s", float, 0.0))
+        Account(share=get(f"realms.{i}.share", amount, 0.0),
+                allowance=get(f"realms.{i}.allowance_per_s", amount, 0.0))
         for i in range(get("realms.count", whole, 0))
     )
     areas = get("areas", words, [])
@@ -136,7 +148,7 @@
         tick=get("tick_ns", whole),
         categories=tuple(categories),
         accounts=accounts,
-        excess_credit=get("excess_credit", float, 1.0),
+        excess_credit=get("excess_credit", amount, 1.0),
         pushed_list=get("discovery", {"pushed": True, "on_request": False}.__getitem__),
         ask_every=get("invariants.ask_every_ns", whole, 10_000_000_000),
         drain_grace=get("invariants.drain_grace_ns", whole),
@@ -156,8 +168,8 @@
         progress_every=get("family_info.progress_ns", whole, 0),
         tells_start=get("family_info.tells_start", flag, False),
         queue_order=get("family_info.queue_order", str, "fifo"),
-        reports=get("load_info.how", str, "none") != "none",
-        live_weights=get("weights", str, "none") == "live",
+        reports=get("load_info.how", REPORTS.__getitem__, False),
+        live_weights=get("weights", WEIGHTS.__getitem__, False),
         area_price=get("prices.cross_zone", float, 0.0),
         waste_price=get("prices.waste", float, 0.0),
         late_price=get("prices.late_fail", float, 0.0),
