--- a/heronwinch/moving.py
+++ b/heronwinch/moving.py
@@ -1,5 +1,5 @@
-"""A configuration of the old shape (load reports with answers, weights that stand still, one location) brought
-to the new one (reports to probes alone, a list whose weights move with load, two locations).
+"""A configuration of the old shape (load reports with answers, weights that stand still, one location)
+brought to the new one (reports to probes alone, a list whose weights move with load, two locations).
 
 No I/O.
 """
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -44,7 +44,7 @@
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
 NEVER = float("inf")
-PURSE = 8  # work items
+PURSE = 8  # work items within its share that an account may send at once
 BEST = 3  # rank of a worker known to be open, where it is best used
 FEW = 8  # running times of a worker kind: with so many, what they tell counts half
 DRAWS = 8  # so many in vain find two open workers in three of a fleet all but once in 6000; then it is walked
@@ -146,7 +146,6 @@
         self.weight = 1.0
         self.slots = 0  # the most it has shown, 0 before its first report
         self.out = []  # own hand-offs
-        self.kept = []  # since when connections to it stand idle
         self.busy = 0  # the slots they ask
         self.memory = 0.0  # the memory they ask
         self.since = 0  # the slots asked by those sent since its last report
@@ -170,6 +169,7 @@
     def restart(self, epoch):
         """A new worker starts closed, up to its first epoch."""
         self.shut_until = epoch
+        self.kept = []  # since when connections to it stand idle
         self.free = None  # its last report
         self.waiting = 0.0
         self.heard = 0  # when that came
@@ -299,7 +299,7 @@
         """Credit for the work it takes: what waits is served by it, while in time the newest first."""
         row = wi.row
         late = self.now > wi.due
-        return (row.late_credit if late else 1.0) * row.credit / (row.run or 1.0), -wi.due if late else wi.due
+        return (row.late_credit if late else 1.0) * self._worth(wi), -wi.due if late else wi.due
 
     def _may_go_again(self, wi):
         if len(wi.hos) >= self.terms.most_hand_offs or self.now >= wi.expiry:
@@ -625,6 +625,9 @@
     # ---- openness
 
     def _pays(self, account):
+        """Whether a work item is within its account's share, as far as one dispatcher can tell, which holds
+        its part of the allowance in a purse. A purse of less than a few work items would hold back accounts
+        that keep to their share, as what comes here comes unevenly."""
         terms = self.terms
         rate = terms.accounts[account].allowance / terms.dispatchers / SECOND
         left, when = self.purses[account]
@@ -633,9 +636,13 @@
         return left >= 1
 
     def _worth(self, wi):
+        """Credit for the work it takes."""
         return (1.0 if wi.within else self.terms.excess_credit) * wi.row.credit / (wi.row.run or 1.0)
 
     def _yields(self, wi):
+        """Where no report shows how short slots are, the share of hand-offs turned away does. Half of a work
+        item's tries stand for its likely loss, as they meet the same full fleet; lesser work keeps away, by
+        chance, once what dearer work is likely to lose is worth more."""
         if not self.terms.live_weights:
             return False
         best = max(row.credit / (row.run or 1.0) for row in self.rows)
@@ -655,12 +662,13 @@
         elif len(first) > DRAWS:
             # Drawn at random and taken by chance, in proportion to its open slots: the same choice as below,
             # at a cost that does not grow with the fleet.
-            self.most = self.most_weight if self.terms.live_weights else self.most_slots * self.best_pace
+            most = self.most_weight if self.terms.live_weights else self.most_slots * self.best_pace
             spare = None
             for _ in range(DRAWS):
                 worker = first[int(self.random.random() * len(first))]
                 rank, slots = self._rank(worker, wi)
-                if rank == BEST and self.random.random() * self.most < slots:
+                if rank == BEST and self.random.random() * most < slots:
+                    # Among as many as are drawn, one with a connection kept: new ones may be slow and dear.
                     if not self.terms.live_weights or worker.kept and (
                             self.now - worker.kept[-1] < self.terms.connection_idle):
                         return worker
@@ -691,8 +699,9 @@
         here = not crossing or worker.area == self.terms.area or wi.hos
         if not here and self._stays(wi):
             return -1, 0
-        # Kinds that some work is bound to are left to it while others have room.
-        here = here and (wi.row.kind >= 0 or worker.kind not in self.bound)
+        # Kinds that some work is bound to are left to it, but to what was turned away once all are alike: held
+        # to the other kinds it filled them, and three of ten were lost beside room.
+        here = here and (wi.row.kind >= 0 or worker.kind not in self.bound or wi.hos)
         # Past its due time it yields to other dispatchers: they may have work in time for the last slot, and
         # only where slots are short is there none besides. Alone, what waits is served in order anyway.
         spare = self.now > wi.due and worker.slots > wi.slots and self.terms.dispatchers > 1
@@ -700,10 +709,9 @@
         if slots <= 0 or not self._allowed(worker, wi):
             return -1, 0
         sure = slots >= MOST
-        amount = slots * self.paces.get(worker.kind, 1.0)
         if self.terms.live_weights:
-            amount = worker.weight * min(1, slots)
-        return 2 * sure + bool(here), amount
+            return 2 * sure + bool(here), worker.weight * min(1, slots)
+        return 2 * sure + bool(here), slots * self.paces.get(worker.kind, 1.0)
 
     def _put_first(self):
         if self.terms.area_price > 0:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -696,6 +696,14 @@
     assert [d.sent(wi)[0] > 2 for wi in range(4)] == [True, True, False, False]
     d.arrive(9, category=1)
     assert d.sent(9) == []
+    # Turned away once, it is held to the other kinds no longer.
+    seen = set()
+    for seed in range(20):
+        d = drive(live_weights=True, dispatchers=20, workers=workers, categories=(CATEGORY, bound), seed=seed)
+        d.arrive(1, after=OPEN_AFTER)
+        d.answer(1, 0, d.sent(1)[0], Outcome.FULL, after=1, elapsed=1)
+        seen.add(d.sent(1)[1] > 2)
+    assert seen == {True, False}
 
 
 def test_what_waits_blind_spreads_its_tries_over_its_time(drive):
