--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -699,8 +699,8 @@
         here = not crossing or worker.area == self.terms.area or wi.hos
         if not here and self._stays(wi):
             return -1, 0
-        # Kinds that some work is bound to are left to it, but to what was turned away once all are alike: held
-        # to the other kinds it filled them, and three of ten were lost beside room.
+        # Kinds that some work is bound to are left to it, but to what was turned away once all are alike:
+        # held to the other kinds it filled them, and three of ten were lost beside room.
         here = here and (wi.row.kind >= 0 or worker.kind not in self.bound or wi.hos)
         # Past its due time it yields to other dispatchers: they may have work in time for the last slot, and
         # only where slots are short is there none besides. Alone, what waits is served in order anyway.
