--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -313,8 +313,9 @@
     return account(script, seed, policy, stage.ledgers, ground.kernel.digest(), ground.kernel.events)
 
 
-def test_a_calm_run_is_served_and_keeps_the_rules():
-    tree, breaches, _ = play(SCRIPT)
+@pytest.mark.parametrize("reports", ["answers", "probe", "none"])
+def test_a_calm_run_is_served_and_keeps_the_rules(reports):
+    tree, breaches, _ = play(SCRIPT.replace("slots = 2\n", f'slots = 2\nreports = "{reports}"\n', 1))
     assert not breaches and tree["credit"] > 0.99 and tree["wanted"] > 200
 
 
