--- a/heronwinch/cli.py
+++ b/heronwinch/cli.py
@@ -1,9 +1,9 @@
 """The command line. Without arguments `python -m heronwinch` goes on serving and imports none of this."""
 
+import contextlib
 import json
 import os
 import sys
-import tempfile
 
 import click
 
@@ -247,14 +247,14 @@
     from heronwinch.moving import MoveError
     from heronwinch.moving import move as moved
     from heronwinch.plan import PlanError, read_plan
+    from heronwinch.terms import words
 
     if not new and not dry_run:
         raise Bad("nowhere to write; name a file with -o, or use --dry-run")
     try:
         with open(old, encoding="utf-8") as file:
             tree = json.load(file)
-        result = moved(tree, areas.split(",") if areas else (), area, dispatchers,
-                       fields.split(",") if fields else ())
+        result = moved(tree, words(areas), area, dispatchers, words(fields))
     except (OSError, ValueError, RecursionError) as fault:
         mend = "" if isinstance(fault, MoveError) else "; give a configuration in JSON that can be read"
         raise Bad(f"{old}: {fault}{mend}") from None
@@ -276,11 +276,10 @@
 
 def write_whole(path, text, force):
     """The whole file or none of it, over another only where that is said."""
-    folder = os.path.dirname(os.path.abspath(path))
+    draft = f"{path}.{os.getpid()}.new"
     try:
-        number, draft = tempfile.mkstemp(dir=folder, prefix=".move-")
         try:
-            with open(number, "w", encoding="utf-8") as file:
+            with open(draft, "x", encoding="utf-8") as file:
                 file.write(text)
                 file.flush()
                 os.fsync(file.fileno())
@@ -289,7 +288,7 @@
             else:
                 os.link(draft, path)  # unlike a rename it fails where a file stands
         finally:
-            if os.path.lexists(draft):
+            with contextlib.suppress(FileNotFoundError):
                 os.unlink(draft)
     except FileExistsError:
         raise Bad(f"{path}: there is a file; write elsewhere, or over it with --force") from None
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -434,7 +434,6 @@
     def _hand_off(self, wi, worker):
         now = self.now
         ho = Out(wi, len(wi.hos), worker, now, self._open_slots(worker) > 0)
-        # A report that comes with answers is held against them there.
         if worker.kept:
             worker.kept.pop()
         ho.shown = (worker.free is not None and not worker.waiting
@@ -546,6 +545,7 @@
         self.terms = event.terms
         for row, category in zip(self.rows, event.terms.categories, strict=True):
             row.take(category)
+        self.bound = {row.kind for row in self.rows}
 
     def _noted(self, event):
         wi = self.items.get(event.wi)
@@ -587,7 +587,8 @@
                 if entry.started_at != worker.started_at:
                     worker.restart(self.now + int(self.T * self.random.random()))
                 worker.list(entry)
-                if worker.weight != before:
+                # Elsewhere it changes by hand, now and then, and says nothing of how old reports are.
+                if self.terms.live_weights and worker.weight != before:
                     self.renewed = moved(self.renewed, self.now - worker.weighed, 32)
                     worker.weighed = self.now
             self.most_weight = max(self.most_weight, worker.weight)
@@ -696,12 +697,13 @@
     def _rank(self, worker, wi):
         """How good a choice it is, up to BEST, and what its open slots can do; nothing where it is none."""
         crossing = self.terms.area_price > 0
-        here = not crossing or worker.area == self.terms.area or wi.hos
+        tried = bool(wi.hos)  # turned away once, it takes any area and any kind
+        here = tried or not crossing or worker.area == self.terms.area
         if not here and self._stays(wi):
             return -1, 0
-        # Kinds that some work is bound to are left to it, but to what was turned away once all are alike:
-        # held to the other kinds it filled them, and three of ten were lost beside room.
-        here = here and (wi.row.kind >= 0 or worker.kind not in self.bound or wi.hos)
+        # Kinds that some work is bound to are left to it, but for what was turned away: held to the other
+        # kinds it filled them, and three of ten were lost beside room.
+        here = tried or here and (wi.row.kind >= 0 or worker.kind not in self.bound)
         # Past its due time it yields to other dispatchers: they may have work in time for the last slot, and
         # only where slots are short is there none besides. Alone, what waits is served in order anyway.
         spare = self.now > wi.due and worker.slots > wi.slots and self.terms.dispatchers > 1
@@ -710,8 +712,8 @@
             return -1, 0
         sure = slots >= MOST
         if self.terms.live_weights:
-            return 2 * sure + bool(here), worker.weight * min(1, slots)
-        return 2 * sure + bool(here), slots * self.paces.get(worker.kind, 1.0)
+            return 2 * sure + here, worker.weight * min(1, slots)
+        return 2 * sure + here, slots * self.paces.get(worker.kind, 1.0)
 
     def _put_first(self):
         if self.terms.area_price > 0:
--- a/tests/test_moving.py
+++ b/tests/test_moving.py
@@ -77,6 +77,7 @@
     ('{"settings": {"limits": 3}}', "settings.limits"),
     ('{"settings": {"load_info": {"fields": 7}}}', "fields"),
     ('{"settings": {"areas": "a"}}', "settings.areas"), ('{"settings": {}}', "mend it"),
+    ('{"settings": {"realms": 7}}', "settings.realms"),
 ])
 def test_bad_input_is_one_plain_line_and_nothing_is_written(tmp_path, text, says):
     old = tmp_path / "old.json"
