Operators' door, clients sent away and back, another process on the inherited socket

Cause: no door; the second process found the address taken. Ruled out by the logs: a late start, memory (12 of 80 MB). Tests: tests/test_operating.py, in virtual time and with two real processes on one socket; each fails without its part.

--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -12,7 +12,7 @@
 from heronwinch.net.machine import Machine
 from heronwinch.plan import PlanError, read_plan
 from heronwinch.policy import Dispatcher
-from heronwinch.program import Program
+from heronwinch.program import Program, Unlistenable
 
 
 def main():
@@ -36,8 +36,8 @@
     gc.freeze()  # what the imports made stays: collections need not walk it
     try:
         asyncio.run(_run(plan))
-    except OSError as fault:
-        print(f"heronwinch: cannot listen on {plan.listen[0]}:{plan.listen[1]}: {fault}", file=sys.stderr)
+    except Unlistenable as fault:
+        print(f"heronwinch: {fault}", file=sys.stderr)
         return 1
     return 0
 
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -203,6 +203,12 @@
     time_left: int
 
 
+class Evacuating(NamedTuple):
+    """Clients are sent away: what arrives later than this is deferred at once. None: they are so no more."""
+
+    time_left: int | None
+
+
 class Changed(NamedTuple):
     """New terms, of the same categories in the same order."""
 
--- a/heronwinch/net/discovery.py
+++ b/heronwinch/net/discovery.py
@@ -64,6 +64,7 @@
         self.watching = None
         self.fetching = {}  # tasks, in the order of their start
         self.failing = False
+        self.heard = asyncio.Event()  # an answer or a failure, ever
         self.uncertain = False  # whether the version held is one of this discovery's: the next list is whole
 
     def subscribe(self, on):
@@ -119,6 +120,7 @@
             line.close()
 
     def _tell(self, listing):
+        self.heard.set()
         if self.failing:
             self.failing = False
             log.info("discovery_back", version=listing.version)
@@ -126,6 +128,7 @@
         self.engine.post(self.workers.list(kind, listing))
 
     def _fail(self, fault):
+        self.heard.set()
         self.watch.count("discovery_failed")
         if not self.failing:
             self.failing = True
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -75,7 +75,9 @@
     def change(self, terms):
         """New terms for the same categories hold from now on, also for what is held."""
         self.terms = terms
+        # Before what else is to be told in this turn: nothing is decided by the old ones any more.
         self.post(it.Changed(terms))
+        self.events.insert(0, self.events.pop())
 
     # ---- events
 
@@ -174,6 +176,10 @@
                 self._set_alarm(item)
         self.post(it.Stopping(self.stop_at - self.machine.now()))
 
+    def evacuate(self, seconds):
+        """Clients are sent away: what comes later than this is deferred; None: they are no more."""
+        self.post(it.Evacuating(None if seconds is None else int(seconds * it.SECOND)))
+
     def owes(self):
         """How many work items wait for their answer."""
         return sum(not item.ended for item in self.items.values())
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -113,7 +113,7 @@
                 self.known += 1
                 self.item = self.engine.arrive(event, self, self.came)
             elif kind is ReadyAsked:
-                self._say(503 if self.listener.stopping else 200)
+                self._say(200 if self.listener.ready else 503)
             elif kind is Refused:
                 self._refuse(event)
 
@@ -147,7 +147,7 @@
     def defer(self, come_back):
         self.item = None
         self._say(503, headers=[(b"Retry-After", b"%.3f" % (come_back / SECOND))] if come_back else (),
-                  close=self.listener.stopping)
+                  close=not self.listener.ready)
 
     def turn_away(self):
         self._say(503, close=True)
@@ -169,9 +169,10 @@
         self.once = OrderedDict()  # those that have once, and say nothing since
         self.idle = OrderedDict()  # those that have more often, between requests; in all the longest so first
         self.leaving = set()  # clients that are being turned away
-        self.stopping = False
-        self.keeping = True
+        self.ready = True  # what it says when it is asked
+        self.keeping = True  # whether connections go on after an answer
         self.server = None
+        self.sock = None
 
     def judge_by(self, door):
         """Requests whose head comes from now on are judged by these."""
@@ -179,12 +180,16 @@
         for client in self.clients:
             client.side.door = door
 
-    async def listen(self, host, port):
-        sock = self.engine.machine.listening(host, port)
+    async def listen(self, sock):
         # Accepted all in one turn, a flood of connections takes all descriptors before any can be looked at.
         self.server = await asyncio.start_server(
             self._connected, sock=sock, limit=sockets.READ_AHEAD, backlog=self.budget.accepts)
         sock.listen(BACKLOG)
+        self.sock = sock
+
+    def stop_accepting(self):
+        """Another process accepts on the same socket. What this one has accepted goes on."""
+        self.engine.loop.remove_reader(self.sock)
 
     def _connected(self, reader, writer):
         client = Client(self, reader, writer)
@@ -263,9 +268,12 @@
         """Whether clients may still send more on connections that they have."""
         return self.keeping and bool(self.once or self.idle or self.strangers)
 
-    def stop_keeping(self):
-        """From now on connections end with the answer that is owed on them, idle ones at once."""
-        self.keeping = False
+    def keep(self, on):
+        """Whether connections go on after the answers to come."""
+        self.keeping = on
+
+    def close_idle(self):
+        """What stands idle ends now, but for what has come on it by then."""
         for client in [*self.once, *self.idle]:
             client.wake(0)
 
--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -4,15 +4,25 @@
 nothing."""
 
 import contextlib
+import os
 import resource
 import select
 import socket
 import struct
 import time
 
+from heronwinch.net.presence import Presence
+
 PIECE = 32 * 1024  # bytes that the system holds for a client's connection; it takes twice that
 
 
+class Inherited(socket.socket):
+    """Listens already, for other processes too: what one of them sets holds for all."""
+
+    def listen(self, backlog=0):
+        pass  # asyncio asks for it, with the few that are accepted a turn
+
+
 class Machine:
     """The real one. Times are whole nanoseconds of Unix time that never step back: workers' starts are told
     in Unix time, and the system's wall clock may be set while the dispatcher runs."""
@@ -63,6 +73,23 @@
             raise
         return sock
 
+    def inherited(self, number):
+        """The listening socket that this process was started with under that number."""
+        try:
+            os.fstat(number)
+            sock = Inherited(fileno=number)
+            listens = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        except OSError as fault:
+            raise OSError(f"descriptor {number} is no socket: {fault}") from None
+        if not listens:
+            raise OSError(f"descriptor {number} does not listen")
+        sock.set_inheritable(False)
+        return sock
+
+    def presence(self, sock):
+        """Who else serves that socket."""
+        return Presence(sock, os.environ.get("TMPDIR") or "/tmp")
+
     def descriptors(self):
         """How many descriptors the process may hold at most."""
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- /dev/null
+++ b/heronwinch/net/operators.py
@@ -0,0 +1,64 @@
+"""The door for operators: an address of its own for their calls."""
+
+import asyncio
+import contextlib
+
+import structlog
+
+from heronwinch.net import sockets
+from heronwinch.protocol.operators import BadCall, OperatorSide, answer
+
+log = structlog.get_logger()
+
+MOST = 8  # callers at a time
+ACCEPTS = 4  # of them in a loop turn
+BACKLOG = 64
+HELD = MOST + 2 * ACCEPTS + 1  # descriptors beside the budget: callers, those just accepted, the address
+LONGEST_CALL = 10.0  # seconds that a caller may take
+
+
+class Operators:
+    """`act(call)` gives whether it is so, and a remark; what it does not know raises BadCall."""
+
+    def __init__(self, act, machine, watch):
+        self.act, self.machine, self.watch = act, machine, watch
+        self.callers = {}  # writer -> task, the first to come first
+        self.server = None
+
+    async def listen(self, host, port):
+        sock = self.machine.listening(host, port)
+        self.server = await asyncio.start_server(
+            self._connected, sock=sock, limit=sockets.READ_AHEAD, backlog=ACCEPTS)
+        sock.listen(BACKLOG)
+
+    def _connected(self, reader, writer):
+        # Callers that never finish a call must not keep out the next: the first of them to come goes.
+        if len(self.callers) >= MOST:
+            next(iter(self.callers)).transport.abort()
+        self.callers[writer] = asyncio.create_task(self._serve(reader, writer))
+
+    async def _serve(self, reader, writer):
+        try:
+            with contextlib.suppress(OSError):
+                async with asyncio.timeout(LONGEST_CALL):
+                    writer.write(answer(*await self._hear(reader)))
+                    await writer.drain()
+        except Exception:
+            if self.watch.count("operator_fault"):
+                log.exception("operator_fault")
+        finally:
+            del self.callers[writer]
+            await sockets.closed(writer)
+
+    async def _hear(self, reader):
+        side = OperatorSide()
+        try:
+            while (call := side.feed(await reader.read(sockets.READ_AHEAD))) is None:
+                pass
+            return self.act(call)
+        except BadCall as fault:
+            return False, str(fault)
+
+    def close(self):
+        if self.server is not None:
+            self.server.close()
--- a/heronwinch/plan.py
+++ b/heronwinch/plan.py
@@ -15,6 +15,8 @@
 class Plan(NamedTuple):
     name: str
     listen: tuple[str, int]
+    listen_fd: int | None  # a descriptor that listens there already
+    mgmt: tuple[str, int] | None  # where operators call
     discovery: tuple[str, int]
     seed: int
     sockets: int
@@ -42,11 +44,14 @@
     if not isinstance(tree, dict) or not isinstance(tree.get("settings"), dict):
         raise PlanError(f"{path}: settings are missing")
     discovery = environ.get("RELAY_DISCOVERY"), tree.get("discovery")
+    mgmt = environ.get("RELAY_MGMT") or tree.get("mgmt")
     try:
         values = from_tree(tree["settings"])
         return Plan(
             name=environ.get("RELAY_NAME") or str(tree.get("name", "")),
             listen=_address("listen", environ.get("RELAY_LISTEN") or tree.get("listen")),
+            listen_fd=_descriptor(environ.get("RELAY_LISTEN_FD")),
+            mgmt=_address("mgmt", mgmt) if mgmt else None,
             discovery=_address("discovery", discovery[again] or discovery[not again]),
             seed=int(str(tree.get("seed", "0")), 16),
             sockets=int(tree.get("limits", {}).get("sockets", 1024)),
@@ -66,3 +71,11 @@
         return as_address(str(text or ""))
     except ValueError:
         raise PlanError(f"{name} is no address: {text!r}") from None
+
+
+def _descriptor(text):
+    if not text:
+        return None
+    if not (text.isascii() and text.isdecimal() and len(text) < 8):
+        raise PlanError(f"RELAY_LISTEN_FD is no descriptor: {text!r}; write the number of a listening socket")
+    return int(text)
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -20,6 +20,7 @@
     CloseIdle,
     Defer,
     Effect,
+    Evacuating,
     Forgotten,
     Group,
     HandOff,
@@ -213,12 +214,13 @@
         self.gap = 0.0  # mean time between own hand-offs
         self.last_sent = 0
         self.last = NEVER  # the end of a planned stop
+        self.away = NEVER  # from when on clients should have gone elsewhere
         self.asking_again, self.refusals = False, 0  # failed calls to discovery in a row
         self.reactions = {
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
             Stopping: self._stopping, Forgotten: self._forgotten,
-            Changed: self._changed,
+            Changed: self._changed, Evacuating: self._evacuating,
         }
 
     def handle(self, now, events):
@@ -479,7 +481,7 @@
 
     def _arrived(self, event):
         wi = WorkItem(event, self.rows[event.category], self.now)
-        wi.expiry = min(wi.expiry, self.last)
+        wi.expiry = min(wi.expiry, self.last if self.now < self.away else self.now)
         if self.terms.live_weights:
             wi.turn = self.random.random()
         if self.purses and event.account >= 0:
@@ -541,6 +543,9 @@
                 self._guard(wi, WAIT, self._start_by(wi) - self.now)
         self.actions.append(SetTimer(event.time_left, LAST))
 
+    def _evacuating(self, event):
+        self.away = NEVER if event.time_left is None else self.now + event.time_left
+
     def _changed(self, event):
         self.terms = event.terms
         for row, category in zip(self.rows, event.terms.categories, strict=True):
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -1,6 +1,7 @@
 """One running dispatcher: its parts wired, its course from start to stop."""
 
 import asyncio
+import contextlib
 import signal
 
 import structlog
@@ -9,10 +10,12 @@
 from heronwinch.net.discovery import Discovery
 from heronwinch.net.engine import Engine
 from heronwinch.net.listener import Listener
+from heronwinch.net.operators import HELD, Operators
 from heronwinch.net.sockets import Budget
 from heronwinch.net.watch import Watch
 from heronwinch.net.workers import Workers
 from heronwinch.plan import Plan, PlanError
+from heronwinch.protocol.operators import BadCall
 
 log = structlog.get_logger()
 
@@ -20,10 +23,19 @@
 NEW_CONNECTIONS = 0.5  # seconds from SIGTERM in which the front may send further ones
 KEPT = 0.5  # part of the stop in which clients may go on with the connections they have
 LAST_WORDS = 0.3  # seconds that clients have to read their last answers
+FIRST_WORD = 0.5  # seconds in which discovery may answer before a successor goes by the list it was given
+FIRST_EPOCH = 1.0  # seconds in which workers unheard of count as closed
+UNREAD = 0.1  # seconds in which what came on accepted connections is read, once no more are accepted
+LAST_TO_COME = 2.0  # seconds from the call to send clients away: what comes later is deferred at once
+LAST_IDLE = 0.5  # seconds from that call in which connections may stand idle
 SWEEP = 0.5  # seconds between two looks at idle connections
 SUM_UP = 10.0  # seconds between two lines on what went wrong
 
 
+class Unlistenable(OSError):
+    """An address or a socket to listen on cannot be used."""
+
+
 class Program:
     """`make(terms, seed)` gives the module that decides; `reread` gives the plan anew, and raises PlanError
     where it cannot be used."""
@@ -32,36 +44,120 @@
         self.plan = plan
         self.machine = machine
         self.reread = reread
-        terms, names = plan.terms, plan.names
         self.loop = asyncio.get_running_loop()
         self.watch = Watch()
+        self.sock = self.presence = None  # where it listens already, and who else does
+        if plan.listen_fd is not None:
+            self.sock = _usable("RELAY_LISTEN_FD", lambda: machine.inherited(plan.listen_fd))
+            self.presence = machine.presence(self.sock)
+        self.overlaps = self._others() is True
         budget = self._budget(plan)
-        self.engine = Engine(make, terms, names, plan.seed, machine, self.watch)
-        self.workers = Workers(self.engine, names, terms, budget.workers, machine, self.watch)
+        self.engine = Engine(make, self._terms(plan), plan.names, plan.seed, machine, self.watch)
+        self.workers = Workers(self.engine, plan.names, plan.terms, budget.workers, machine, self.watch)
         self.discovery = Discovery(self.engine, self.workers, plan.discovery, self.watch)
         self.engine.workers, self.engine.discovery = self.workers, self.discovery
         self.listener = Listener(self.engine, budget, self.watch)
+        self.operators = Operators(self._call, machine, self.watch)
+        self.calls = {"readyz": self._readyz, "evacuate": self._evacuate, "activate": self._activate}
+        self.serving = False
+        self.closing_idle = None  # while clients are sent away
         self.stop = asyncio.Event()
 
+    def _others(self):
+        return self.presence.others() if self.presence is not None else False
+
+    def _terms(self, plan):
+        """Two processes at one address are one dispatcher to all limits: each keeps to half of its part."""
+        terms = plan.terms
+        return terms._replace(dispatchers=2 * terms.dispatchers) if self.overlaps else terms
+
     def _budget(self, plan):
-        return Budget(min(plan.sockets, self.machine.descriptors()), plan.memory_mb)
+        sockets = min(plan.sockets, self.machine.descriptors()) - (HELD if plan.mgmt else 0)
+        share = 1 + self.overlaps
+        return Budget(sockets // share, plan.memory_mb // share)
 
     async def run(self):
         self.loop.set_exception_handler(self._stray)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        self.engine.post(self.workers.list(it.ListKind.CACHED, self.plan.known))
-        if self.plan.terms.pushed_list:
+        plan = self.plan
+        if plan.mgmt:
+            await _opened(plan.mgmt, self.operators.listen(*plan.mgmt))
+        if self.sock is None:
+            self.sock = _usable(_said(plan.listen), lambda: self.machine.listening(*plan.listen))
+        self.engine.post(self.workers.list(it.ListKind.CACHED, plan.known))
+        if plan.terms.pushed_list:
             self.discovery.subscribe(True)
-        await self.listener.listen(*self.plan.listen)
-        log.info("started", name=self.plan.name, listen=":".join(map(str, self.plan.listen)),
-                 workers=len(self.plan.known.hosts))
-        self._every(SWEEP, self.workers.sweep)
+        if self.overlaps:
+            await self._ripen()
+        await self.listener.listen(self.sock)
+        if self.presence is not None and not self.presence.show():
+            self.watch.count("presence_untold")
+        self.serving = True
+        log.info("started", name=plan.name, listen=_said(plan.listen), workers=len(plan.known.hosts),
+                 replaces=self.overlaps)
+        self._every(SWEEP, self._sweep)
         self._every(SUM_UP, self.watch.sum_up)
         await self.stop.wait()
         await self._stop()
 
+    async def _ripen(self):
+        """While another process serves, nothing is lost by waiting for news of the workers and for the first
+        epoch, up to which they all count as closed."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_WORD):
+                await self.discovery.heard.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_EPOCH):
+                await self.stop.wait()
+
+    def _sweep(self):
+        self.workers.sweep()
+        if self.overlaps and not self.stop.is_set() and not self._others():
+            log.info("alone")
+            self._overlap(False)
+
+    def _overlap(self, on):
+        """The other process has come or gone: limits hold for both together."""
+        self.overlaps = on
+        self.listener.budget = budget = self._budget(self.plan)
+        self.workers.most = budget.workers
+        self.engine.change(self._terms(self.plan))
+
+    # ---- operators' calls
+
+    def _call(self, call):
+        if call not in self.calls:
+            raise BadCall(f"no such call; there are {', '.join(self.calls)}")
+        yes, text = self.calls[call]()
+        self.watch.count("call_" + call)
+        return yes, text
+
+    def _readyz(self):
+        return self.serving, "ready" if self.serving else "not ready yet"
+
+    def _evacuate(self):
+        """Clients are sent away; nothing else changes, and nothing restarts."""
+        if self.closing_idle is None:
+            log.info("evacuating", held=self.engine.owes(), clients=len(self.listener.clients))
+            self.listener.ready = False
+            self.listener.keep(False)
+            self.engine.evacuate(LAST_TO_COME)
+            self.closing_idle = self.loop.call_later(LAST_IDLE, self.listener.close_idle)
+        return True, "sending clients away"
+
+    def _activate(self):
+        if self.closing_idle is not None:
+            log.info("activated", held=self.engine.owes(), clients=len(self.listener.clients))
+            self.closing_idle.cancel()
+            self.closing_idle = None
+            self.engine.evacuate(None)
+            if not self.stop.is_set():
+                self.listener.ready = True
+                self.listener.keep(True)
+        return True, "taking clients"
+
     def reload(self):
         """The configuration is read again; what can change while it runs does so at once."""
         if self.stop.is_set():
@@ -74,21 +170,21 @@
             log.error("reload_refused", why=str(fault))
             return
         changed = [name for name in Plan._fields if getattr(new, name) != getattr(old, name)]
-        fixed = [name for name in changed if name in ("listen", "names")]
-        self.plan = new._replace(listen=old.listen, names=old.names)
+        fixed = [name for name in changed if name in ("listen", "mgmt", "names")]
+        self.plan = new._replace(listen=old.listen, mgmt=old.mgmt, names=old.names)
         if new.names != old.names:
             # Work items and workers are held under the numbers of these names.
             self.plan = self.plan._replace(terms=old.terms)
         elif new.terms != old.terms:
             self.workers.terms = new.terms
-            self.engine.change(new.terms)
+            self.engine.change(self._terms(new))
             self.listener.judge_by(self.engine.door())
         self.listener.budget, self.workers.most = budget, budget.workers
         if (news := self.workers.remember(new.known)) is not None:
             self.engine.post(news)
         if new.discovery != old.discovery:
             self.discovery.move(new.discovery)
-        log.info("reloaded", changed=",".join(changed), discovery=":".join(map(str, new.discovery)),
+        log.info("reloaded", changed=",".join(changed), discovery=_said(new.discovery),
                  needs_restart=",".join(fixed))
 
     def _every(self, seconds, act):
@@ -101,26 +197,59 @@
             log.error("stray_fault", what=context.get("message"), exc_info=context.get("exception"))
 
     async def _stop(self):
-        """What was taken is answered; new connections are accepted for as long as they come."""
+        """What was taken is answered; new connections are accepted for as long as they come here."""
         begun = self.loop.time()
         seconds = min(LONGEST_STOP, max(row.expiry for row in self.plan.terms.categories) / it.SECOND)
-        log.info("stopping", held=self.engine.owes(), clients=len(self.listener.clients))
-        self.listener.stopping = True
+        # Where nobody can be told, a platform that holds the socket stops a process once the next one serves.
+        followed = self._others() is not False
+        log.info("stopping", held=self.engine.owes(), clients=len(self.listener.clients), followed=followed)
+        if followed:
+            # The next process has the socket and what is in its queue. Connections end with their answer,
+            # idle ones soon: the longer they are kept, the less time is left for what still comes on them.
+            self.listener.stop_accepting()
+            self.listener.keep(False)
+            self._overlap(True)
+            keep, come = UNREAD, UNREAD
+        else:
+            # Another dispatcher may be down just then, and clients have nowhere to go but here; later what
+            # cannot end in time goes elsewhere at once. Where there is no other, all the time counts.
+            self.listener.ready = False
+            keep = seconds * KEPT if self.plan.terms.dispatchers > 1 else seconds - LAST_WORDS
+            come = NEW_CONNECTIONS
         self.engine.stop(seconds)
-        # Another dispatcher may be down just then, and clients have nowhere to go but here; later what cannot
-        # end in time goes elsewhere at once. Where there is no other, all the time there is counts.
-        keep = seconds * KEPT if self.plan.terms.dispatchers > 1 else seconds - LAST_WORDS
+        closed = False
         while (now := self.loop.time()) < begun + seconds:
-            if self.listener.keeping and now > begun + keep:
-                self.listener.stop_keeping()
-            if now > begun + NEW_CONNECTIONS and not self.engine.owes() and not self.listener.kept():
+            if not closed and now > begun + keep:
+                closed = True
+                self.listener.keep(False)
+                self.listener.close_idle()
+            if now > begun + come and not self.engine.owes() and not self.listener.kept():
                 break
             await asyncio.sleep(0.01)
         self.listener.close()
         last = self.loop.time() + LAST_WORDS
         while self.loop.time() < last and (self.listener.clients or self.engine.owes()):
             await asyncio.sleep(0.01)
+        self.operators.close()
         self.discovery.close()
         self.workers.close()
         self.watch.sum_up()
         log.info("stopped", unanswered=self.engine.owes(), seconds=round(self.loop.time() - begun, 3))
+
+
+def _said(address):
+    return ":".join(map(str, address))
+
+
+def _usable(what, make):
+    try:
+        return make()
+    except OSError as fault:
+        raise Unlistenable(f"cannot listen on {what}: {fault}") from None
+
+
+async def _opened(address, opening):
+    try:
+        await opening
+    except OSError as fault:
+        raise Unlistenable(f"cannot listen on {_said(address)}: {fault}") from None
--- /dev/null
+++ b/heronwinch/protocol/operators.py
@@ -0,0 +1,39 @@
+"""The operators' side: one line to a connection, one line back."""
+
+from heronwinch.protocol.buffer import Buffer, TooLong
+
+MOST_LINE = 256  # bytes
+
+
+class BadCall(ValueError):
+    """What came is no call."""
+
+
+class OperatorSide:
+    def __init__(self):
+        self.buffer = Buffer(MOST_LINE)
+
+    def feed(self, data):
+        """The call that these bytes complete, None while it is not whole. A line that was cut off is no call:
+        half of one might be another."""
+        if not data:
+            raise BadCall("the line has no end")
+        end = data.find(b"\n") + 1
+        try:
+            self.buffer.add(data[:end] if end else data)
+        except TooLong as fault:
+            raise BadCall(str(fault)) from None
+        line = self.buffer.take_line()
+        if line is None:
+            return None
+        try:
+            text = line.decode("ascii").strip()
+        except UnicodeDecodeError:
+            text = ""
+        if not text or not text.isprintable():
+            raise BadCall("no call; a call is one plain word")
+        return text
+
+
+def answer(yes, text):
+    return b"%s %s\n" % (b"+OK" if yes else b"-ERR", text.encode("ascii", "replace"))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -136,14 +136,14 @@
     async def __aenter__(self):
         for server in [*self.workers, self.discovery]:
             await server.start()
-        self.address = free_address()
+        self.address, self.mgmt = free_address(), free_address()
         await self.start()
         return self
 
     def tree(self, changes):
         tree = json.loads((ROOT / "examples" / "config.json").read_text())
-        tree |= {"listen": "{}:{}".format(*self.address), "discovery": self.discovery.dial,
-                 "limits": {"sockets": self.sockets},
+        tree |= {"listen": "{}:{}".format(*self.address), "mgmt": "{}:{}".format(*self.mgmt),
+                 "discovery": self.discovery.dial, "limits": {"sockets": self.sockets},
                  "known": {"seq": 1, "whole": True, "hosts": [w.entry() for w in self.workers]}, **changes}
         for path, value in self.settings.items():
             *parents, name = path.split(".")
@@ -184,6 +184,20 @@
         except OSError:
             return 0, b""
 
+    async def call(self, *pieces, ends=False):
+        """What the operators' door says to these bytes."""
+        reader, writer = await asyncio.open_connection(*self.mgmt)
+        try:
+            for piece in pieces:
+                writer.write(piece)
+                await asyncio.sleep(0.01)
+            if ends:
+                writer.write_eof()
+            async with asyncio.timeout(20):
+                return (await reader.read()).decode()
+        finally:
+            writer.close()
+
     async def talk(self, data):
         """The status and body of what comes back for these bytes, read to the connection's end."""
         reader, writer = await asyncio.open_connection(*self.address)
--- /dev/null
+++ b/tests/test_operating.py
@@ -0,0 +1,238 @@
+"""The program in operation: the operators' door, clients sent away and back, another process in its place."""
+
+import asyncio
+import contextlib
+import os
+import socket
+import sys
+
+import pytest
+from conftest import ROOT, free_address, job
+
+from heronwinch.net.presence import NAME
+from heronwinch.protocol.operators import MOST_LINE, BadCall, OperatorSide, answer
+
+
+@pytest.mark.parametrize("size", [1, 3, 100])
+@pytest.mark.parametrize("data", [
+    b"readyz\n", b"  readyz \r\n", b"readyz\nevacuate\n", b"readyz\n" + b"x" * 999])
+def test_a_call_is_the_first_whole_line_however_it_comes(data, size):
+    side = OperatorSide()
+    calls = [side.feed(data[at:at + size]) for at in range(0, data.index(b"\n") + 1, size)]
+    assert calls[-1] == "readyz" and not any(calls[:-1])
+
+
+@pytest.mark.parametrize("parts", [
+    [b"\n"], [b"  \r\n"], [b"\xff\xfe\n"], [b"re\0ady\n"], [b"x" * (MOST_LINE + 1)], [b"x"] * (MOST_LINE + 1),
+    [b""], [b"activate", b""],
+])
+def test_what_is_no_call_is_told_so(parts):
+    side = OperatorSide()
+    with pytest.raises(BadCall):
+        for part in parts:
+            assert side.feed(part) is None
+    assert answer(False, "what\xff").startswith(b"-ERR what") and answer(True, "x").endswith(b"\n")
+
+
+@pytest.mark.parametrize("pieces, ends, says", [
+    ((b"readyz\n",), False, "+OK ready\n"),
+    ((b"rea", b"dyz\r", b"\n"), False, "+OK ready\n"),
+    ((b"reboot\n",), False, "-ERR no such call; there are readyz, evacuate, activate\n"),
+    ((b"evacu",), True, "-ERR the line has no end\n"),
+    ((b"activate\n",), False, "+OK taking clients\n"),
+])
+def test_the_door_answers_one_line_and_closes(stage, pieces, ends, says):
+    async def scene(s):
+        assert await s.call(*pieces, ends=ends) == says
+        assert (await s.ask())[0] == 200
+    stage(scene)
+
+
+def test_callers_that_finish_no_call_keep_nobody_out(stage):
+    async def scene(s):
+        silent = [await asyncio.open_connection(*s.mgmt) for _ in range(40)]
+        for _, writer in silent:
+            writer.write(b"evacuate")
+        async with asyncio.timeout(1):
+            assert await s.call(b"readyz\n") == "+OK ready\n"
+        assert (await s.ask())[0] == 200
+        for _, writer in silent:
+            writer.close()
+    stage(scene, sockets=40)
+
+
+def test_clients_are_sent_away_and_taken_back(stage):
+    async def scene(s):
+        for worker in s.workers:
+            worker.running = 0.3
+        reader, busy = await asyncio.open_connection(*s.address)
+        idle_reader, idle = await asyncio.open_connection(*s.address)
+        for writer, each in ((busy, reader), (idle, idle_reader)):
+            writer.write(job(id="first" if writer is busy else "other"))
+            await each.readuntil(b"HI")
+        busy.write(job(id="second"))
+        assert await s.call(b"evacuate\n") == await s.call(b"evacuate\n") == "+OK sending clients away\n"
+        assert (await s.get("/-/ready"))[0] == 503
+        assert (await s.ask(id="late"))[0] == 200  # new connections go on coming for a while
+        head = await reader.readuntil(b"HI")  # on its way when the call came
+        assert head.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in head
+        assert await reader.read() == await idle_reader.read() == b""
+        await asyncio.sleep(2)
+        assert (await s.ask(id="too-late"))[0] == 503  # at once: it could not end in time
+        assert await s.call(b"readyz\n") == "+OK ready\n"
+        assert await s.call(b"activate\n") == "+OK taking clients\n"
+        assert (await s.get("/-/ready"))[0] == 200
+        reader, writer = await asyncio.open_connection(*s.address)
+        for i in range(2):
+            writer.write(job(id=f"back{i}"))
+            assert (await reader.readuntil(b"HI")).startswith(b"HTTP/1.1 200 ")
+        for each in (busy, idle, writer):
+            each.close()
+    stage(scene, workers=4)
+
+
+@pytest.mark.parametrize("again", [False, True])
+def test_a_stop_while_clients_are_sent_away_is_a_stop(stage, again):
+    async def scene(s):
+        await s.call(b"evacuate\n")
+        asked = asyncio.create_task(s.ask())
+        await asyncio.sleep(0.05)
+        s.process.terminate()
+        if again:
+            await s.call(b"activate\n")
+            assert (await s.get("/-/ready"))[0] == 503
+        assert (await asked)[0] == 200
+    stage(scene)
+
+
+# ---- another process in its place
+
+
+class Held:
+    """The platform's part: it holds the clients' listening socket and starts processes that inherit it."""
+
+    def __init__(self, stage, folder):
+        self.stage, self.folder = stage, folder
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(128)
+        stage.address = self.sock.getsockname()
+        self.processes = []
+
+    async def start(self, descriptor=None, **variables):
+        mgmt, own = free_address(), self.sock.fileno()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "heronwinch", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            pass_fds=(own,),
+            env={"RELAY_CONFIG": str(self.stage.write_config()), "PATH": os.environ["PATH"],
+                 "RELAY_MGMT": "{}:{}".format(*mgmt), "RELAY_LISTEN_FD": descriptor or str(own),
+                 "TMPDIR": str(self.folder), **variables})
+        self.processes.append(process)
+        return process, mgmt
+
+    async def ready(self, mgmt):
+        self.stage.mgmt = mgmt
+        async with asyncio.timeout(20):
+            while True:
+                with contextlib.suppress(OSError):
+                    if (await self.stage.call(b"readyz\n")).startswith("+OK"):
+                        return
+                await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+def held(real_stage, tmp_path):
+    """Plays a scene of a stage and a platform that holds the listening socket."""
+    def play(scene, **settings):
+        async def run(s):
+            s.process.terminate()
+            await s.process.wait()
+            platform = Held(s, tmp_path)
+            try:
+                await scene(s, platform)
+            finally:
+                platform.sock.close()
+                for process in platform.processes:
+                    if process.returncode is None:
+                        process.kill()
+                        await process.communicate()
+        real_stage(run, **settings)
+    return play
+
+
+def leave_folder(path):
+    (path / NAME).mkdir()
+
+
+def leave_pipe(path):
+    os.mkfifo(path / NAME)
+
+
+def leave_old(path):
+    (path / NAME).write_bytes(b"\0" * 999)
+    (path / "heronwinch.1.sock").write_bytes(b"{")
+
+
+@pytest.mark.parametrize("leftover", [None, leave_folder, leave_pipe, leave_old])
+def test_a_process_takes_the_place_of_another_and_no_work_item_is_lost(held, leftover):
+    async def scene(s, platform):
+        if leftover is not None:
+            leftover(platform.folder)
+        for worker in s.workers:
+            worker.running = 0.4
+        old, mgmt = await platform.start()
+        await platform.ready(mgmt)
+        reader, kept = await asyncio.open_connection(*s.address)
+        kept.write(job(id="first"))
+        await reader.readuntil(b"HI")
+        taken = asyncio.create_task(s.ask(id="taken"))
+        new, mgmt = await platform.start()
+        await platform.ready(mgmt)
+        kept.write(job(id="second"))
+        waiting = asyncio.create_task(s.ask(id="third"))
+        await asyncio.sleep(0.1)
+        old.terminate()
+        answers = await asyncio.gather(*(s.ask(id=f"i{i}") for i in range(8)))
+        assert answers == [(200, b"HI")] * 8
+        assert await taken == await waiting == (200, b"HI")
+        head = await reader.readuntil(b"HI")
+        assert head.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in head
+        kept.close()
+        async with asyncio.timeout(5):
+            _, logged = await old.communicate()
+        assert old.returncode == 0 and b"unanswered=0" in logged, logged
+        assert b"followed=false" not in logged
+        assert (await s.ask(id="last"))[0] == 200 and (await s.get("/-/ready"))[0] == 200
+        new.terminate()
+        _, logged = await new.communicate()
+        assert new.returncode == 0 and b"Traceback" not in logged, logged
+        if leftover in (None, leave_old):
+            assert b"event=alone" in logged and b"followed=false" in logged
+    held(scene, workers=4)
+
+
+def test_a_new_process_that_dies_before_its_yes_changes_nothing(held):
+    async def scene(s, platform):
+        old, mgmt = await platform.start()
+        await platform.ready(mgmt)
+        new, _ = await platform.start()
+        await asyncio.sleep(0.5)
+        new.kill()
+        await new.wait()
+        broken, _ = await platform.start(RELAY_CONFIG="/nowhere")
+        assert await broken.wait() == 2
+        assert [(await s.ask())[0] for _ in range(6)] == [200] * 6
+        old.terminate()
+        assert (await s.ask())[0] == 200  # nobody follows: new connections are served for a while
+        _, logged = await old.communicate()
+        assert b"followed=false" in logged
+    held(scene)
+
+
+@pytest.mark.parametrize("descriptor, status", [("x", 2), ("-1", 2), ("9", 1), ("2", 1)])
+def test_a_descriptor_that_does_not_listen_is_one_plain_line(held, descriptor, status):
+    async def scene(s, platform):
+        process, _ = await platform.start(descriptor)
+        _, errors = await process.communicate()
+        assert process.returncode == status and errors.count(b"\n") == 1 and b"RELAY_LISTEN_FD" in errors
+    held(scene)
