--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -210,9 +210,11 @@
 
 
 class Changed(NamedTuple):
-    """New terms, of the same categories in the same order."""
+    """New terms. `before` has for each category its number up to now, -1 where it is new; work under way
+    keeps the category it came under. Areas and kinds have the numbers they had."""
 
     terms: Terms
+    before: tuple[int, ...]
 
 
 class Forgotten(NamedTuple):
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -39,7 +39,7 @@
 
     def __init__(self, make, terms, names, seed, machine, watch):
         self.make = make
-        self.terms = terms
+        self.terms, self.names = terms, names
         self.random = Random(seed)
         self.machine = machine
         self.watch = watch
@@ -72,12 +72,15 @@
         return Door({path: rows[i].effect == it.Effect.TICKETED for path, i in self.categories.items()},
                     self.taken)
 
-    def change(self, terms):
-        """New terms for the same categories hold from now on, also for what is held."""
+    def change(self, terms, names):
+        """New terms hold from now on; what is held keeps its category."""
+        if self.events:
+            self._turn()  # what came before is numbered and decided by the old ones
+        before, self.names = self.names.categories, names
         self.terms = terms
-        # Before what else is to be told in this turn: nothing is decided by the old ones any more.
-        self.post(it.Changed(terms))
-        self.events.insert(0, self.events.pop())
+        self.categories = {as_path(name): i for i, name in enumerate(names.categories)}
+        self.post(it.Changed(terms, tuple(
+            before.index(name) if name in before else -1 for name in names.categories)))
 
     # ---- events
 
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -8,7 +8,7 @@
 
 from heronwinch.interface import SECOND
 from heronwinch.net import sockets
-from heronwinch.protocol.clients import ClientSide, Job, ReadyAsked, Refused, Say
+from heronwinch.protocol.clients import ClientSide, Job, ReadyAsked, Refused, Say, Unheard
 
 log = structlog.get_logger()
 
@@ -114,6 +114,9 @@
                 self.item = self.engine.arrive(event, self, self.came)
             elif kind is ReadyAsked:
                 self._say(200 if self.listener.ready else 503)
+            elif kind is Unheard:
+                self.listener.watch.count("no_such_category")
+                self._say(404, event.reason.encode() + b"\n")
             elif kind is Refused:
                 self._refuse(event)
 
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -89,6 +89,16 @@
         """Well before the worker would: what is written to a connection it has closed may have run."""
         return (self.terms.connection_idle or SHORTEST_IDLE) // 2
 
+    def numbered(self, names, terms):
+        """Terms that name areas and kinds by their places in these names, with the numbers they have here."""
+        areas = [self.areas.setdefault(name, len(self.areas)) for name in names.areas]
+        kinds = [self.kinds.setdefault(name, len(self.kinds)) for name in names.kinds]
+        return terms._replace(
+            area=areas[terms.area] if terms.area < len(areas) else terms.area,
+            categories=tuple(
+                row._replace(kind=kinds[row.kind]) if 0 <= row.kind < len(kinds) else row
+                for row in terms.categories))
+
     # ---- the list
 
     def remember(self, listing):
--- a/heronwinch/plan.py
+++ b/heronwinch/plan.py
@@ -1,18 +1,29 @@
 """What a dispatcher is told: the configuration that RELAY_* name, read and judged."""
 
 import json
+from math import inf
 from typing import NamedTuple
 
 from heronwinch import interface as it
 from heronwinch.protocol.discovery import BadList, Listing, as_address, as_listing
 from heronwinch.terms import Names, SettingsError, from_tree, read_names, read_terms
 
+# What has to be there, also where a variable says the same: a file without it was cut short.
+DUE = ("name", "listen", "discovery", "seed", "known", "known.seq", "known.whole", "known.hosts",
+       "limits.cores", "limits.memory_mb", "limits.sockets", "settings.categories",
+       "settings.limits.most_hand_offs")
+ABOVE_0 = ("limits.cores", "limits.memory_mb", "limits.sockets", "settings.limits.most_hand_offs")
+ABOVE_0_IN_ROWS = ("due_time_ns", "expiry_ns")
+DUE_IF_TICKETED = ("group", "window_ns")  # their defaults would promise what nobody has said
+
 
 class PlanError(ValueError):
     """The configuration cannot be used."""
 
 
 class Plan(NamedTuple):
+    path: str
+    shape: frozenset[str]  # what the file's settings and limits name
     name: str
     listen: tuple[str, int]
     listen_fd: int | None  # a descriptor that listens there already
@@ -47,7 +58,9 @@
     mgmt = environ.get("RELAY_MGMT") or tree.get("mgmt")
     try:
         values = from_tree(tree["settings"])
-        return Plan(
+        plan = Plan(
+            path=path,
+            shape=frozenset(_shape({name: tree.get(name) for name in ("settings", "limits")})),
             name=environ.get("RELAY_NAME") or str(tree.get("name", "")),
             listen=_address("listen", environ.get("RELAY_LISTEN") or tree.get("listen")),
             listen_fd=_descriptor(environ.get("RELAY_LISTEN_FD")),
@@ -60,12 +73,57 @@
             terms=read_terms(values),
             names=read_names(values),
         )
+        _check(tree)
+        return plan
     except (SettingsError, BadList, PlanError) as fault:
         raise PlanError(f"{path}: {fault}") from None
     except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
         raise PlanError(f"{path}: {type(fault).__name__}: {fault}") from None
 
 
+def check_whole(new, old):
+    """What the file in force names and the new one does not is more likely lost than left out."""
+    if gone := sorted(old.shape - new.shape):
+        raise PlanError(f"{new.path}: {gone[0]} is missing; the file in force has it")
+
+
+def _check(tree):
+    for path in DUE:
+        _at(tree, path)
+    for path in ABOVE_0:
+        _above_0(path, _at(tree, path))
+    for i, row in enumerate(tree["settings"]["categories"]):
+        place = f"settings.categories.{i}."
+        for name in ABOVE_0_IN_ROWS:
+            _above_0(place + name, row[name])
+        for name in DUE_IF_TICKETED if row["effect"] == "dedup" else ():
+            if name not in row:
+                raise PlanError(f"{place}{name} is missing; a ticketed category needs it")
+
+
+def _at(tree, path):
+    for name in path.split("."):
+        if not isinstance(tree, dict) or name not in tree:
+            raise PlanError(f"{path} is missing; write it as in examples/config.json")
+        tree = tree[name]
+    return tree
+
+
+def _above_0(path, value):
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < inf:
+        raise PlanError(f"{path} is {value!r}; write a number above 0")
+
+
+def _shape(value, path=""):
+    """The paths of all names; in a list of objects those that each of them has."""
+    if isinstance(value, dict):
+        for name, part in value.items():
+            yield path + name
+            yield from _shape(part, f"{path}{name}.")
+    elif isinstance(value, list) and value and all(isinstance(part, dict) for part in value):
+        yield from set.intersection(*(set(_shape(part, path)) for part in value))
+
+
 def _address(name, text):
     try:
         return as_address(str(text or ""))
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -69,13 +69,10 @@
     )
 
     def __init__(self, category):
-        self.take(category)
-        self.run = 0.0  # learned: mean running time, 0 while none was seen
-        self.likely, self.seen = 0.0, 0  # the same with what did not come to its end, and of how many
-
-    def take(self, category):
         for name in self.__slots__[:-3]:
             setattr(self, name, getattr(category, name))
+        self.run = 0.0  # learned: mean running time, 0 while none was seen
+        self.likely, self.seen = 0.0, 0  # the same with what did not come to its end, and of how many
 
 
 class Out:
@@ -547,9 +544,15 @@
         self.away = NEVER if event.time_left is None else self.now + event.time_left
 
     def _changed(self, event):
+        """What is held keeps the row it came under: a stricter effect, a shorter window must not meet a
+        hand-off made under another. The new rows go on with what was learned."""
+        if len(event.terms.accounts) != len(self.purses):
+            self.purses = [(PURSE, 0) for _ in event.terms.accounts]
         self.terms = event.terms
-        for row, category in zip(self.rows, event.terms.categories, strict=True):
-            row.take(category)
+        old, self.rows = self.rows, [Row(category) for category in event.terms.categories]
+        for row, before in zip(self.rows, event.before, strict=True):
+            if before >= 0:
+                row.run, row.likely, row.seen = old[before].run, old[before].likely, old[before].seen
         self.bound = {row.kind for row in self.rows}
 
     def _noted(self, event):
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -14,7 +14,7 @@
 from heronwinch.net.sockets import Budget
 from heronwinch.net.watch import Watch
 from heronwinch.net.workers import Workers
-from heronwinch.plan import Plan, PlanError
+from heronwinch.plan import Plan, PlanError, check_whole
 from heronwinch.protocol.operators import BadCall
 
 log = structlog.get_logger()
@@ -123,7 +123,7 @@
         self.overlaps = on
         self.listener.budget = budget = self._budget(self.plan)
         self.workers.most = budget.workers
-        self.engine.change(self._terms(self.plan))
+        self.engine.change(self._terms(self.plan), self.plan.names)
 
     # ---- operators' calls
 
@@ -165,19 +165,18 @@
         old = self.plan
         try:
             new = self.reread()
+            check_whole(new, old)
             budget = self._budget(new)
         except PlanError as fault:
             log.error("reload_refused", why=str(fault))
             return
-        changed = [name for name in Plan._fields if getattr(new, name) != getattr(old, name)]
-        fixed = [name for name in changed if name in ("listen", "mgmt", "names")]
-        self.plan = new._replace(listen=old.listen, mgmt=old.mgmt, names=old.names)
-        if new.names != old.names:
-            # Work items and workers are held under the numbers of these names.
-            self.plan = self.plan._replace(terms=old.terms)
-        elif new.terms != old.terms:
+        told = [name for name in Plan._fields if name != "shape"]
+        changed = [name for name in told if getattr(new, name) != getattr(old, name)]
+        self.plan = new = new._replace(
+            listen=old.listen, mgmt=old.mgmt, terms=self.workers.numbered(new.names, new.terms))
+        if new.terms != old.terms or new.names != old.names:
             self.workers.terms = new.terms
-            self.engine.change(self._terms(new))
+            self.engine.change(self._terms(new), new.names)
             self.listener.judge_by(self.engine.door())
         self.listener.budget, self.workers.most = budget, budget.workers
         if (news := self.workers.remember(new.known)) is not None:
@@ -185,7 +184,7 @@
         if new.discovery != old.discovery:
             self.discovery.move(new.discovery)
         log.info("reloaded", changed=",".join(changed), discovery=_said(new.discovery),
-                 needs_restart=",".join(fixed))
+                 needs_restart=",".join(name for name in changed if name in ("listen", "mgmt")))
 
     def _every(self, seconds, act):
         self.loop.call_later(seconds, self._every, seconds, act)
--- a/heronwinch/protocol/clients.py
+++ b/heronwinch/protocol/clients.py
@@ -64,12 +64,14 @@
     reason: str
 
 
-class BadRequest(ValueError):
-    status = 400
+class Unheard(NamedTuple):
+    """A whole request for a category that is not served, any more or yet: to be answered, and no more."""
 
+    reason: str
 
-class NoSuchPath(BadRequest):
-    status = 404
+
+class BadRequest(ValueError):
+    status = 400
 
 
 class WrongMethod(BadRequest):
@@ -156,6 +158,12 @@
         if self.h11.trailing_data[0]:
             raise BadRequest("more after the request")
         asked, body = self.asked, self.body.take()
+        if type(asked) is Job:
+            # The door may have changed since the head came, and may be new.
+            if asked.category not in self.door.needs_ticket:
+                asked = Unheard("no such category any more")
+            elif asked.ticket is None and self.door.needs_ticket[asked.category]:
+                raise BadRequest("Idempotency-Key is missing")
         if type(asked) is Job:
             if asked.id in self.door.taken:  # it may have been taken since the head came
                 raise IdTaken("Req-Id is that of an open request")
@@ -191,7 +199,7 @@
             raise BadRequest(f"{name.decode()} is repeated")
     category = path[1:].split("/", 1)[0]
     if category not in door.needs_ticket:
-        raise NoSuchPath("no such category")
+        return Unheard("no such category")
     id, ticket = headers.get(b"req-id", b""), headers.get(b"idempotency-key")
     if not ID.fullmatch(id):
         raise BadRequest("Req-Id is missing or no plain word")
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import json
 import os
+import signal
 import socket
 import sys
 
@@ -236,3 +238,120 @@
         _, errors = await process.communicate()
         assert process.returncode == status and errors.count(b"\n") == 1 and b"RELAY_LISTEN_FD" in errors
     held(scene)
+
+
+# ---- new settings
+
+
+def rows(s, *changes):
+    """The example's categories, changed, gone (None) or further ones."""
+    old = json.loads((ROOT / "examples" / "config.json").read_text())["settings"]["categories"]
+    new = {row["name"]: row for row in old}
+    for name, change in changes:
+        new[name] = None if change is None else {**(new.get(name) or old[0]), "name": name, **change}
+    s.settings["categories"] = [row for row in new.values() if row]
+
+
+async def reloaded(s, event="reloaded"):
+    before = sum("event=" + event in line for line in s.logged)
+    s.process.send_signal(signal.SIGHUP)
+    async with asyncio.timeout(5):
+        while sum("event=" + event in line for line in s.logged) == before:
+            await asyncio.sleep(0.01)
+
+
+def test_categories_come_go_and_change_their_effect_while_work_is_under_way(stage):
+    async def scene(s):
+        for worker in s.workers:
+            worker.running = 0.6
+        reader, kept = await asyncio.open_connection(*s.address)
+        kept.write(job("/render/1", id="kept"))
+        taken = [asyncio.create_task(s.ask(path)) for path in ("/render/1", "/charge/1")]
+        while sum(w.held for w in s.workers) < 3:
+            await asyncio.sleep(0.01)
+        rows(s, ("render", None), ("charge", {"effect": "dedup", "group": "all", "window_ns": 10**10}),
+             ("weigh", {"effect": "fragile"}))
+        s.write_config()
+        await reloaded(s)
+        assert (await s.ask("/weigh/1"))[0] == 200
+        assert (await s.ask("/charge/1"))[0] == 400  # a ticket is due from now on
+        assert (await s.ask("/charge/1", Idempotency_Key="k"))[0] == 200
+        assert (await s.ask("/render/1"))[0] == 404
+        assert [answer[0] for answer in await asyncio.gather(*taken)] == [200, 200]
+        await reader.readuntil(b"HI")
+        for _ in range(2):  # of a category that is gone: told so, and the connection lives on
+            kept.write(job("/render/1", id="gone"))
+            assert b" 404 " in await reader.readuntil(b"category\n")
+        rows(s, ("weigh", None))
+        s.write_config()
+        await reloaded(s)
+        kept.write(job("/render/1", id="back"))
+        assert (await reader.readuntil(b"HI")).startswith(b"HTTP/1.1 200 ")
+        kept.close()
+    stage(scene, workers=4)
+
+
+def cut(tree):
+    return json.dumps(tree)[:-40]
+
+
+def without(*names):
+    def change(tree):
+        node = tree
+        for name in names[:-1]:
+            node = node[name]
+        del node[names[-1]]
+        return json.dumps(tree)
+    change.__name__ = "without " + ".".join(map(str, names))
+    return change
+
+
+def with_value(value, *names):
+    def change(tree):
+        node = tree
+        for name in names[:-1]:
+            node = node[name]
+        node[names[-1]] = value
+        return json.dumps(tree)
+    change.__name__ = f"{names[-1]} {value!r}"
+    return change
+
+
+ROW = "settings", "categories", 1
+BAD_FILES = [
+    lambda tree: "", lambda tree: "[]", cut,
+    *(without(name) for name in ("name", "listen", "discovery", "seed", "limits", "known", "settings")),
+    without("limits", "memory_mb"), without("known", "hosts"), without("settings", "siblings"),
+    without("settings", "categories"), without("settings", "limits", "may_cancel"),
+    without("settings", "realms"),
+    without(*ROW, "expiry_ns"), without(*ROW, "credit"), without(*ROW, "group"), without(*ROW, "window_ns"),
+    *(with_value(value, *ROW, "expiry_ns")
+      for value in (0, -5, float("nan"), float("inf"), "soon", "5", True, None)),
+    *(with_value(value, "settings", "limits", "most_hand_offs") for value in (0, -1, "4", False, None, [4])),
+]
+
+
+@pytest.mark.parametrize("spoil", BAD_FILES, ids=lambda spoil: spoil.__name__)
+def test_a_file_that_cannot_be_used_whole_changes_nothing(stage, spoil):
+    async def scene(s):
+        tree = s.tree({"discovery": "127.0.0.1:1"})  # would be seen if a part of it were used
+        tree["settings"]["categories"][0]["effect"] = "dedup"
+        s.write_config().write_text(spoil(tree))
+        await reloaded(s, "reload_refused")
+        assert (await s.ask())[0] == 200
+        (line,) = [line for line in s.logged if "reload_refused" in line]
+        assert "config.json" in line and "discovery_failed" not in "".join(s.logged)
+    stage(scene)
+
+
+def test_accounts_areas_and_kinds_are_renamed_without_a_restart(stage):
+    async def scene(s):
+        s.settings |= {"areas": ["z", "a"], "az": 1, "models": ["other", "std"],
+                       "realms": [{"name": "x", "share": 0.5, "allowance_per_s": 9.0}]}
+        rows(s, ("render", {}))
+        s.settings["family_info.class_kind"] = [1, -1, -1]
+        s.write_config()
+        await reloaded(s)
+        assert [(await s.ask())[0] for _ in range(3)] == [200] * 3
+        assert "needs_restart= " in s.logged[-1] or s.logged[-1].endswith("needs_restart=")
+    stage(scene)
