--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -161,6 +161,23 @@
     writes: bool
 
 
+class Had(NamedTuple):
+    """A hand-off that another process made."""
+
+    worker: int
+    age: int  # since it was sent
+    outcome: int  # 0 while it is out
+
+
+class Resumed(NamedTuple):
+    """A work item that another process took and passed on, as it arrived there, and its hand-offs so far; the
+    last may still be out."""
+
+    arrived: Arrived
+    age: int  # since then
+    hos: tuple[Had, ...]
+
+
 class Answered(NamedTuple):
     """How a hand-off ended; `ended` is set when the work item has ended with it or earlier."""
 
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -19,11 +19,15 @@
 class Item:
     """A work item from its arrival to the last news of its hand-offs."""
 
-    __slots__ = ("number", "job", "client", "effect", "expiry", "hos", "out", "ended", "orphan", "alarm")
+    __slots__ = ("number", "job", "client", "effect", "expiry", "hos", "out", "ended", "orphan", "alarm",
+                 "came", "given", "sent")
 
-    def __init__(self, number, job, client, effect, expiry):
-        self.number, self.job, self.client, self.effect, self.expiry = number, job, client, effect, expiry
+    def __init__(self, number, job, client, effect, came, given):
+        self.number, self.job, self.client, self.effect = number, job, client, effect
+        self.came, self.given = came, given  # when it was taken, and with how much time left
+        self.expiry = came + given
         self.hos = []
+        self.sent = []  # for each: the worker, and when
         self.out = 0
         self.ended = False
         self.orphan = False  # the module that handed it off is no more
@@ -74,8 +78,7 @@
 
     def change(self, terms, names):
         """New terms hold from now on; what is held keeps its category."""
-        if self.events:
-            self._turn()  # what came before is numbered and decided by the old ones
+        self.catch_up()  # what came before is numbered and decided by the old ones
         before, self.names = self.names.categories, names
         self.terms = terms
         self.categories = {as_path(name): i for i, name in enumerate(names.categories)}
@@ -139,17 +142,62 @@
         # The client counts from when it sent it, so from the first byte here, not from the last.
         time_left = max(0, came - self.machine.now() - MARGIN + (
             row.expiry if job.time_left is None else job.time_left))
-        expiry = self.machine.now() + time_left
-        if self.stop_at is not None:
-            expiry = min(expiry, self.stop_at)
+        item = self._enter(job, client, row.effect, self.machine.now(), time_left)
+        self.post(self._arrived(item, category))
+        return item
+
+    def _enter(self, job, client, effect, came, given):
         self.count += 1
-        item = self.items[self.count] = Item(self.count, job, client, row.effect, expiry)
+        item = self.items[self.count] = Item(self.count, job, client, effect, came, given)
+        if self.stop_at is not None:
+            item.expiry = min(item.expiry, self.stop_at)
         self._set_alarm(item)
+        return item
+
+    def _arrived(self, item, category):
         # No header names the account: to count all for the first would hold its share against everybody.
-        self.post(it.Arrived(item.number, category, -1, self.keys.take(job.key), time_left, 0,
-                             job.slots, job.memory, job.repeated, False))
+        job = item.job
+        return it.Arrived(item.number, category, -1, self.keys.take(job.key), item.given, 0,
+                          job.slots, job.memory, job.repeated, False)
+
+    def takes(self):
+        """What another process may pass on: the categories, with their effects."""
+        return {path: int(self.terms.categories[i].effect) for path, i in self.categories.items()}
+
+    def resume(self, passed, client, streams):
+        """Goes on with a work item that another process has passed on, with its worker's connection where a
+        hand-off is out."""
+        job, now = passed.job, self.machine.now()
+        category = self.categories[job.category]
+        effect = self.terms.categories[category].effect
+        self.taken.take(job.id)
+        item = self._enter(job, client, effect, now - passed.age, passed.given)
+        if (news := self.workers.meet(passed.hosts)) is not None:
+            self.post(news)
+        hos = tuple(it.Had(self.workers.by_host[ho.host].number, ho.age, ho.outcome)
+                    for ho in passed.hand_offs)
+        item.hos = [it.Outcome(ho.outcome) if ho.outcome else None for ho in hos]
+        item.sent = [(ho.worker, now - ho.age) for ho in hos]
+        self.post(it.Resumed(self._arrived(item, category), passed.age, hos))
+        if streams is not None:
+            item.out = 1
+            self.workers.resume(item, hos[-1], passed.heard, streams)
         return item
 
+    def pass_on(self, item):
+        """It is another process's from now on."""
+        item.ended = True
+        item.alarm.cancel()
+        item.client = None
+        self.keys.drop(item.job.key)
+        del self.items[item.number]
+        self.post(it.Left(item.number))
+
+    def catch_up(self):
+        """What has been told is handled, without waiting for the next loop turn."""
+        if self.events:
+            self._turn()
+
     def _set_alarm(self, item):
         if item.alarm is not None:
             item.alarm.cancel()
@@ -216,6 +264,7 @@
         self.watch.must(not item.out or self.terms.parallel_tries, "one_hand_off_out")
         self.watch.must(number < self.terms.most_hand_offs, "hand_off_limit")
         item.hos.append(None)
+        item.sent.append((action.worker, self.machine.now()))
         item.out += 1
         if item.ended:
             moot = it.Answered(item.number, number, action.worker, it.Outcome.MOOT, 0, True, 0, None)
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -9,6 +9,7 @@
 from heronwinch.interface import SECOND
 from heronwinch.net import sockets
 from heronwinch.protocol.clients import ClientSide, Job, ReadyAsked, Refused, Say, Unheard
+from heronwinch.protocol.passing import BadMessage, as_request
 
 log = structlog.get_logger()
 
@@ -203,6 +204,30 @@
             self.watch.count("client_turned_away")
             self._turn_away(client)
 
+    def resume(self, reader, writer, passed, worker):
+        """A client that another process has passed on, perhaps with its work item."""
+        client = Client(self, reader, writer)
+        client.known = passed.known
+        if passed.job is not None:
+            if [type(told) for told in client.side.feed(as_request(passed.job, passed.closes))] != [Job]:
+                raise BadMessage("a job that cannot be asked for")
+            client.item = self.engine.resume(passed, client, worker)
+        self.clients[client] = asyncio.create_task(self._serve(client))
+        client.rested = self.engine.machine.now()
+        self.place(client)
+
+    def passable(self, client):
+        """Whether another process can go on with it, as far as the client goes: it stands idle, or waits."""
+        side = client.side
+        return (not client.ended and not side.broken and not client.writer.is_closing()
+                and not client.writer.transport.get_write_buffer_size()
+                and (client.item is not None if side.owed else client.known > 0 and side.between))
+
+    def let_go(self, client):
+        """Another process has it."""
+        client.item = None
+        self.clients[client].cancel()
+
     async def _serve(self, client):
         try:
             await client.serve()
--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -86,9 +86,13 @@
         sock.set_inheritable(False)
         return sock
 
+    def shared_folder(self):
+        """Where this process and the next one find each other."""
+        return os.environ.get("TMPDIR") or "/tmp"
+
     def presence(self, sock):
         """Who else serves that socket."""
-        return Presence(sock, os.environ.get("TMPDIR") or "/tmp")
+        return Presence(sock, self.shared_folder())
 
     def descriptors(self):
         """How many descriptors the process may hold at most."""
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -7,13 +7,14 @@
 
 from heronwinch import interface as it
 from heronwinch.net import sockets
-from heronwinch.protocol.discovery import Listing
+from heronwinch.protocol.discovery import Host, Listing
 from heronwinch.protocol.workers import Note, Over, WorkerSide
 
 log = structlog.get_logger()
 
 KEPT_IN_MIND = 600 * it.SECOND  # a worker that is gone may be listed again
 SHORTEST_IDLE = 5 * it.SECOND  # workers keep an idle connection for so long where nothing is said about it
+MOST_HEARD = 8 * 1024  # bytes of an answer not at its end that are kept to be passed on
 TAIL = 1.0  # seconds that the rest of an answer may take once its last line has come
 
 
@@ -22,12 +23,14 @@
 
 
 class Connection:
-    __slots__ = ("address", "reader", "writer", "side", "idle_since")
+    __slots__ = ("address", "reader", "writer", "side", "idle_since", "heard", "passed")
 
     def __init__(self, address, reader, writer):
         self.address, self.reader, self.writer = address, reader, writer
         self.side = WorkerSide()
         self.idle_since = 0
+        self.heard = None  # what has come of the present answer, as long as it can be passed on
+        self.passed = False  # another process has it
 
     def is_stale(self):
         """Whether it was kept from before and had no word since: its end says nothing about the worker, which
@@ -49,7 +52,8 @@
 class HandOff:
     """One hand-off that is out."""
 
-    __slots__ = ("workers", "item", "number", "worker", "until", "patience", "begun", "task", "outcome")
+    __slots__ = ("workers", "item", "number", "worker", "until", "patience", "begun", "task", "outcome",
+                 "connection")
 
     def __init__(self, workers, item, number, worker, until, patience):
         self.workers, self.item, self.number, self.worker = workers, item, number, worker
@@ -57,6 +61,7 @@
         self.begun = workers.machine.now()
         self.task = None
         self.outcome = None
+        self.connection = None  # once it is sent
 
     def settle(self, over):
         """Its outcome; what is said of it later does not count."""
@@ -83,6 +88,7 @@
         self.carrying = {}  # (work item, number) -> its hand-off that is out
         self.probing = {}  # worker -> the task of its probe
         self.version = 0
+        self.records = False  # whether answers are kept as they came, to be passed on
 
     @property
     def longest_idle(self):
@@ -111,6 +117,19 @@
             and self.by_host[host.host].entry.started_at <= host.started_ms * 1_000_000))
         return self.list(it.ListKind.DELTA, Listing(self.version, False, news)) if news else None
 
+    def meet(self, hosts):
+        """The event of workers named by another process that are not in the list here."""
+        news = tuple(host._replace(standing=it.Standing.DRAINING) for host in hosts
+                     if host.host not in self.by_host)
+        return self.list(it.ListKind.DELTA, Listing(self.version, False, news)) if news else None
+
+    def as_host(self, worker):
+        """A worker as a list would have it."""
+        entry = worker.entry
+        area, kind = [*self.areas][entry.area], [*self.kinds][entry.kind]
+        return Host(worker.host, worker.address, area, kind, entry.pod, entry.standing, entry.weight,
+                    entry.started_at // 1_000_000)
+
     def list(self, kind, listing):
         """The event of a listing; kinds and areas that the settings do not name get numbers of their own."""
         self._forget()
@@ -175,10 +194,38 @@
     def start(self, item, number, worker, until, patience):
         ho = HandOff(self, item, number, self.by_number[worker], until, patience)
         self.watch.must(not self._left_long_ago(ho.worker), "no_hand_off_past_the_grace")
-        self.carrying[item.number, number] = ho
-        ho.task = asyncio.create_task(self._carry(ho))
+        self._begin(ho, self._carry(ho))
+
+    def _begin(self, ho, course):
+        self.carrying[ho.item.number, ho.number] = ho
+        ho.task = asyncio.create_task(course)
         ho.task.add_done_callback(lambda task: self._carried(ho))
 
+    def resume(self, item, had, heard, streams):
+        """Goes on with the last hand-off of a work item that another process has passed on."""
+        ho = HandOff(self, item, len(item.hos) - 1, self.by_number[had.worker], item.expiry, 0)
+        ho.begun -= had.age
+        connection = Connection(ho.worker.address, *streams)
+        connection.side.hand_off(item.job, 1.0)  # as the other process has done
+        if heard:
+            connection.side.feed(heard)
+        connection.heard = bytearray(heard)
+        self.open += 1
+        self._begin(ho, self._carry(ho, connection))
+
+    def passable(self, ho):
+        """Whether another process can go on with it: all of it was sent, and what came since is at hand."""
+        connection = ho.connection
+        return (connection is not None and connection.heard is not None and ho.outcome is None
+                and not connection.side.over and (connection.side.taken or not ho.patience)
+                and not connection.writer.is_closing())
+
+    def let_go(self, ho):
+        """Another process has it."""
+        ho.outcome = it.Outcome.MOOT  # nothing that is said of it here counts any more
+        ho.connection.passed = True
+        ho.task.cancel()
+
     def cancel(self, item, number):
         self.carrying[item.number, number].task.cancel()
 
@@ -242,7 +289,7 @@
         system holds be sent later. Guards against a second run of ticketed work at a worker that was cut off
         when it was handed the first time: its window was over when that came through."""
         self.open -= 1
-        if not connection.side.over:
+        if not connection.side.over and not connection.passed:
             self.machine.forget_unsent(connection.writer)
         connection.writer.transport.abort()
 
@@ -263,19 +310,22 @@
 
     # ---- hand-offs
 
-    async def _carry(self, ho):
+    async def _carry(self, ho, connection=None):
+        """With a connection on which another process has sent it, what is left of its course."""
+        sent = connection is not None
         try:
-            connection = await self._connect(ho.worker, ho.until)
+            connection = connection or await self._connect(ho.worker, ho.until)
         except Unreachable:
             ho.settle(Over(it.Outcome.CONNECT_FAILED))
             return
         kept = False
         try:
-            if ho.item.ended or self._left_long_ago(ho.worker):
+            if not sent and (ho.item.ended or self._left_long_ago(ho.worker)):
                 # While it connected the client went away, or the worker's grace ran out: nothing is sent.
                 ho.settle(Over(it.Outcome.MOOT if ho.item.ended else it.Outcome.CONNECT_FAILED))
                 kept = self._keep(ho.worker, connection)
-            elif await self._send(ho, connection):
+            elif sent or await self._send(ho, connection):
+                ho.connection = connection
                 await self._receive(ho, connection)
                 # After a reset it may go again elsewhere at once: this one must not stay open meanwhile.
                 kept = (ho.outcome not in (it.Outcome.RESET, it.Outcome.STALE)
@@ -296,6 +346,7 @@
         transport = connection.writer.transport
         transport.set_write_buffer_limits(high=0)  # drained means that nothing is left here
         seconds = self._seconds_to(ho.until)
+        connection.heard = bytearray() if self.records else None
         connection.writer.write(connection.side.hand_off(ho.item.job, seconds))
         try:
             async with asyncio.timeout(seconds):
@@ -312,7 +363,12 @@
         taken_by = min(ho.until, self.machine.now() + ho.patience) if ho.patience else ho.until
         while not side.over:
             seconds = self._seconds_to(ho.until if side.taken else taken_by)
-            for news in side.feed(await sockets.read(connection.reader, seconds)):
+            data = await sockets.read(connection.reader, seconds)
+            if connection.heard is not None:
+                connection.heard += data
+                if len(connection.heard) > MOST_HEARD:
+                    connection.heard = None
+            for news in side.feed(data):
                 if type(news) is Note:
                     self.engine.note(ho.item, ho.number, ho.worker.number, *news)
                 elif news.outcome == it.Outcome.RESET and connection.is_stale():
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -32,6 +32,7 @@
     Probe,
     Probed,
     Rang,
+    Resumed,
     SetTimer,
     Standing,
     Stopping,
@@ -43,6 +44,7 @@
 # planned stop; a work item's own count up from there.
 ASK_AGAIN, BEAT, LAST, OWN = 0, 1, 2, 3
 WAIT = object()  # what a work item yields to wait; it is resumed with a worker
+OUT = object()  # the same where a hand-off is out already; it is resumed with its answer
 MOST = 0.01  # slots beyond this dispatcher's part count for less than this, when it is blind
 NEVER = float("inf")
 PURSE = 8  # work items within its share that an account may send at once
@@ -217,7 +219,7 @@
             Listed: self._listed, Arrived: self._arrived, Answered: self._answered, Left: self._left,
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
             Stopping: self._stopping, Forgotten: self._forgotten,
-            Changed: self._changed, Evacuating: self._evacuating,
+            Changed: self._changed, Evacuating: self._evacuating, Resumed: self._resumed,
         }
 
     def handle(self, now, events):
@@ -243,14 +245,15 @@
 
     def _course(self, wi):
         """A work item from top to bottom; its value is the final answer, None where that has been given."""
-        while self._start_by(wi) > self.now:
-            worker = self._pick(wi)
-            while worker is not None and self._should_ask(worker, wi):
-                worker = yield Ask(worker)
-            if worker is None:
-                yield WAIT
-                continue
-            answer = yield worker
+        while wi.out or self._start_by(wi) > self.now:
+            if not wi.out:  # else another process has handed it off
+                worker = self._pick(wi)
+                while worker is not None and self._should_ask(worker, wi):
+                    worker = yield Ask(worker)
+                if worker is None:
+                    yield WAIT
+                    continue
+            answer = yield (OUT if wi.out else worker)
             if answer.ended:
                 return None
             if not self._may_go_again(wi):
@@ -341,7 +344,7 @@
                 self._guard(wi, worker, min(self._start_by(wi) - self.now, patience))
                 if not worker.probing:
                     self._probe(worker)
-            else:
+            elif worker is not OUT:
                 self._hand_off(wi, worker)
 
     def _guard(self, wi, what, after):
@@ -437,14 +440,7 @@
             worker.kept.pop()
         ho.shown = (worker.free is not None and not worker.waiting
                     and now - worker.heard <= 2 * self.terms.tick and worker.free - worker.since >= wi.slots)
-        wi.hos.append(ho)
-        wi.out += 1
-        worker.out.append(ho)
-        worker.busy += wi.slots
-        worker.since += wi.slots
-        worker.memory += wi.memory
-        if self._is_cold(worker):
-            worker.pushed.append((now, self._work(wi)))
+        self._enter(ho)
         if self.last_sent:
             gap = now - self.last_sent
             self.gap = moved(self.gap, gap, 32)
@@ -456,6 +452,18 @@
         if self.terms.progress_every:
             self._watch(ho)
 
+    def _enter(self, ho):
+        """Into the books of its work item and its worker."""
+        wi, worker = ho.wi, ho.worker
+        wi.hos.append(ho)
+        wi.out += 1
+        worker.out.append(ho)
+        worker.busy += wi.slots
+        worker.since += wi.slots
+        worker.memory += wi.memory
+        if self._is_cold(worker):
+            worker.pushed.append((ho.sent, self._work(wi)))
+
     def _watch(self, ho):
         """A running work item gives a note every so often: two missed, the worker is held to be standing
         still. Guards against workers that take work and answer nothing."""
@@ -497,14 +505,38 @@
             return
         ho.answered = True
         wi.out -= 1
-        if event.outcome not in (Outcome.OK, *NEVER_RAN) and (wi.anchor is None or ho.sent < wi.anchor.sent):
-            wi.anchor = ho
+        self._may_have_run(ho, event.outcome)
         self._learn(ho, event)
         if wi.ended or event.ended:
             self._end(wi, None)
         else:
             self._advance(wi, event)
 
+    def _may_have_run(self, ho, outcome):
+        wi = ho.wi
+        if outcome not in (Outcome.OK, *NEVER_RAN) and (wi.anchor is None or ho.sent < wi.anchor.sent):
+            wi.anchor = ho
+
+    def _resumed(self, event):
+        """Another process's work item goes on in its course: its hand-offs count as own ones, for its
+        repeats, its worker's slots and what a cold one can take."""
+        arrived = event.arrived
+        wi = self.items[arrived.wi] = WorkItem(arrived, self.rows[arrived.category], self.now - event.age)
+        wi.expiry = min(wi.expiry, self.last)
+        for worker, age, outcome in event.hos:
+            ho = Out(wi, len(wi.hos), self.workers[worker], self.now - age, False)
+            if outcome:
+                ho.answered = True
+                wi.hos.append(ho)
+                self._may_have_run(ho, outcome)
+                continue
+            self._enter(ho)
+            ho.noted = self.now
+            if self.terms.progress_every:
+                self._watch(ho)
+        wi.course = self._course(wi)
+        self._advance(wi)
+
     def _left(self, event):
         wi = self.items.get(event.wi)
         if wi is not None:
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -11,6 +11,7 @@
 from heronwinch.net.engine import Engine
 from heronwinch.net.listener import Listener
 from heronwinch.net.operators import HELD, Operators
+from heronwinch.net.passing import Passing, Taking
 from heronwinch.net.sockets import Budget
 from heronwinch.net.watch import Watch
 from heronwinch.net.workers import Workers
@@ -28,6 +29,7 @@
 UNREAD = 0.1  # seconds in which what came on accepted connections is read, once no more are accepted
 LAST_TO_COME = 2.0  # seconds from the call to send clients away: what comes later is deferred at once
 LAST_IDLE = 0.5  # seconds from that call in which connections may stand idle
+LOOK = 0.05  # seconds between two looks for the other process
 SWEEP = 0.5  # seconds between two looks at idle connections
 SUM_UP = 10.0  # seconds between two lines on what went wrong
 
@@ -57,6 +59,11 @@
         self.discovery = Discovery(self.engine, self.workers, plan.discovery, self.watch)
         self.engine.workers, self.engine.discovery = self.workers, self.discovery
         self.listener = Listener(self.engine, budget, self.watch)
+        if self.sock is not None:
+            folder = machine.shared_folder()
+            self.taking = Taking(self.engine, self.listener, folder, self.watch)
+            self.passing = Passing(self.engine, self.listener, self.workers, folder)
+            self.workers.records = True
         self.operators = Operators(self._call, machine, self.watch)
         self.calls = {"readyz": self._readyz, "evacuate": self._evacuate, "activate": self._activate}
         self.serving = False
@@ -91,13 +98,16 @@
             self.discovery.subscribe(True)
         if self.overlaps:
             await self._ripen()
+        if self.presence is not None and not self.taking.open():
+            self.watch.count("taking_unavailable")
         await self.listener.listen(self.sock)
         if self.presence is not None and not self.presence.show():
             self.watch.count("presence_untold")
         self.serving = True
         log.info("started", name=plan.name, listen=_said(plan.listen), workers=len(plan.known.hosts),
                  replaces=self.overlaps)
-        self._every(SWEEP, self._sweep)
+        self._every(SWEEP, self.workers.sweep)
+        self._end_overlap()
         self._every(SUM_UP, self.watch.sum_up)
         await self.stop.wait()
         await self._stop()
@@ -112,9 +122,13 @@
             async with asyncio.timeout(FIRST_EPOCH):
                 await self.stop.wait()
 
-    def _sweep(self):
-        self.workers.sweep()
-        if self.overlaps and not self.stop.is_set() and not self._others():
+    def _end_overlap(self):
+        """Looks for the other process, up to when it is gone."""
+        if not self.overlaps or self.stop.is_set():
+            return
+        if self._others():
+            self.loop.call_later(LOOK, self._end_overlap)
+        else:
             log.info("alone")
             self._overlap(False)
 
@@ -202,23 +216,31 @@
         # Where nobody can be told, a platform that holds the socket stops a process once the next one serves.
         followed = self._others() is not False
         log.info("stopping", held=self.engine.owes(), clients=len(self.listener.clients), followed=followed)
+        passes = False
         if followed:
-            # The next process has the socket and what is in its queue. Connections end with their answer,
-            # idle ones soon: the longer they are kept, the less time is left for what still comes on them.
+            # The next process has the socket and what is in its queue, and takes what is held here. What it
+            # does not take ends with its answer, idle connections soon: the longer they are kept, the less
+            # time is left for what still comes on them.
             self.listener.stop_accepting()
-            self.listener.keep(False)
             self._overlap(True)
-            keep, come = UNREAD, UNREAD
+            self.taking.close()
+            passes = await self.passing.meet()
+            self.listener.keep(passes)
+            keep = come = UNREAD
         else:
             # Another dispatcher may be down just then, and clients have nowhere to go but here; later what
             # cannot end in time goes elsewhere at once. Where there is no other, all the time counts.
             self.listener.ready = False
             keep = seconds * KEPT if self.plan.terms.dispatchers > 1 else seconds - LAST_WORDS
             come = NEW_CONNECTIONS
-        self.engine.stop(seconds)
+        if passes:
+            await self.passing.all()  # before what is held here has to end sooner
+        self.engine.stop(begun + seconds - self.loop.time())
         closed = False
         while (now := self.loop.time()) < begun + seconds:
-            if not closed and now > begun + keep:
+            if passes and self.passing.sock is not None:
+                await self.passing.all()
+            elif not closed and now > begun + keep:
                 closed = True
                 self.listener.keep(False)
                 self.listener.close_idle()
@@ -229,6 +251,9 @@
         last = self.loop.time() + LAST_WORDS
         while self.loop.time() < last and (self.listener.clients or self.engine.owes()):
             await asyncio.sleep(0.01)
+        if passes:
+            self.passing.close()
+            log.info("passed_on", connections=self.passing.passed)
         self.operators.close()
         self.discovery.close()
         self.workers.close()
--- a/heronwinch/protocol/clients.py
+++ b/heronwinch/protocol/clients.py
@@ -100,6 +100,11 @@
         """Whether nothing of a further request has been seen."""
         return not self.owed and not self.broken and self.asked is None and not self.h11.trailing_data[0]
 
+    @property
+    def closes(self):
+        """Whether the client has said that the connection ends with the answer."""
+        return self.h11.their_state is h11.MUST_CLOSE
+
     def feed(self, data):
         """What these bytes complete, in order."""
         if self.broken:
--- /dev/null
+++ b/heronwinch/protocol/passing.py
@@ -0,0 +1,95 @@
+"""What one process tells the next when it passes its work on: a hello back, then one message a connection.
+
+Parser state is not told: the next process feeds its own machines with what this one's were fed."""
+
+import json
+from typing import NamedTuple
+
+from heronwinch.protocol.clients import Job
+from heronwinch.protocol.discovery import Host
+
+FORM = 1  # of the messages; another one is not understood
+BYTES = ("id", "target", "ticket", "body")  # of a job's fields
+MOST = 192 * 1024  # bytes of a message
+
+
+class BadMessage(ValueError):
+    """What came is no message of this form."""
+
+
+class Hello(NamedTuple):
+    """What the next process can take: categories by name, with their effect."""
+
+    form: int
+    categories: dict[str, int]
+
+
+class PassedHandOff(NamedTuple):
+    host: str
+    age: int  # since it was sent
+    outcome: int  # 0 while it is out
+
+
+class Passed(NamedTuple):
+    """A client's connection that is idle, or with its work item: then the job, and how far it has come."""
+
+    known: int  # how often the client has handed in work
+    closes: bool = False  # whether the connection ends with the answer
+    job: Job | None = None
+    age: int = 0  # since it came
+    given: int = 0  # the time it had when it came
+    hand_offs: tuple[PassedHandOff, ...] = ()
+    hosts: tuple[Host, ...] = ()  # the workers of these
+    heard: bytes = b""  # what the worker of the one that is out has said so far
+
+
+def hello(categories):
+    return json.dumps([FORM, categories]).encode()
+
+
+def as_hello(data):
+    try:
+        form, categories = json.loads(data)
+        return Hello(int(form), {str(name): int(effect) for name, effect in categories.items()})
+    except (ValueError, TypeError, AttributeError, RecursionError, OverflowError):
+        raise BadMessage("no hello") from None
+
+
+def message(passed):
+    """The bytes of a message, None where they would be too many."""
+    tree = passed._asdict() | {"heard": _text(passed.heard)}
+    if passed.job is not None:
+        tree["job"] = [_text(part) if isinstance(part, bytes) else part for part in passed.job]
+    data = json.dumps(tree, ensure_ascii=False).encode()
+    return data if len(data) <= MOST else None
+
+
+def as_passed(data):
+    try:
+        tree = json.loads(data)
+        job = tree["job"] and Job(*(
+            part.encode("latin-1") if name in BYTES and part is not None else part
+            for name, part in zip(Job._fields, tree["job"], strict=True)))
+        return Passed(
+            int(tree["known"]), bool(tree["closes"]), job, int(tree["age"]), int(tree["given"]),
+            tuple(PassedHandOff(str(host), int(age), int(outcome))
+                  for host, age, outcome in tree["hand_offs"]),
+            tuple(Host(host, tuple(address), *rest) for host, address, *rest in tree["hosts"]),
+            tree["heard"].encode("latin-1"))
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError, OverflowError) as fault:
+        raise BadMessage(f"no message: {type(fault).__name__}: {fault}") from None
+
+
+def _text(data):
+    return data.decode("latin-1")
+
+
+def as_request(job, closes):
+    """A request that asks for this job, for a machine that has not seen the one it came with."""
+    lines = [b"POST %s HTTP/1.1" % job.target, b"Host: backend.local", b"Req-Id: " + job.id,
+             b"Content-Length: %d" % len(job.body)]
+    if job.ticket is not None:
+        lines.append(b"Idempotency-Key: " + job.ticket)
+    if closes:
+        lines.append(b"Connection: close")
+    return b"\r\n".join([*lines, b"", job.body])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -746,3 +746,32 @@
     # One at once, as the worker counted as open, one at random, the others apart.
     assert len(times) == d.terms.most_hand_offs
     assert all(b - a >= 100 * MS for a, b in zip(times[1:], times[2:], strict=False))
+
+
+@pytest.mark.parametrize("effect, outcome, goes_again", [
+    (it.Effect.RERUNNABLE, Outcome.RESET, True),
+    (it.Effect.EXCLUSIVE, Outcome.RESET, False),
+    (it.Effect.EXCLUSIVE, Outcome.FULL, True),
+])
+def test_another_processs_work_goes_on_in_its_course(drive, effect, outcome, goes_again):
+    d = drive(effect=effect, category={"due_time": 5000 * MS})
+    d.do(after=OPEN_AFTER)
+    arrived = it.Arrived(7, 0, -1, 0, 5000 * MS, 0, 1.0, 0.0, False, False)
+    d.do(it.Resumed(arrived, 500 * MS, (it.Had(1, 400 * MS, Outcome.FULL), it.Had(2, 300 * MS, 0))))
+    assert d.sent(7) == [] and d.dispatcher.workers[2].busy == 1  # it is out already
+    wi = d.dispatcher.items[7]
+    assert wi.expiry - d.now == 4500 * MS and [d.now - ho.sent for ho in wi.hos] == [400 * MS, 300 * MS]
+    d.answer(7, 1, 2, outcome, after=10)
+    assert (d.sent(7) != []) == goes_again and (d.final(7) == ["WriteOff"]) == (not goes_again)
+
+
+@pytest.mark.parametrize("hos, final", [
+    ((), "Defer"), (((1, Outcome.FULL),), "Defer"), (((1, Outcome.RESET), (2, Outcome.FULL)), "WriteOff"),
+])
+def test_another_processs_waiting_work_is_answered_by_what_may_have_run_there(drive, hos, final):
+    d = drive(effect=it.Effect.EXCLUSIVE, workers=())
+    arrived = it.Arrived(7, 0, -1, 0, 5000 * MS, 0, 1.0, 0.0, False, False)
+    d.do(it.Listed(it.ListKind.DELTA, 2, tuple(w._replace(standing=it.Standing.DRAINING) for w in TWO)))
+    d.do(it.Resumed(arrived, 100 * MS, tuple(it.Had(w, 50 * MS, outcome) for w, outcome in hos)))
+    d.do(after=5000)
+    assert d.final(7) == [final]
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -6,7 +6,7 @@
 from conftest import DOOR, job, split_answer
 
 from heronwinch.interface import Outcome, Report, Standing, Topic
-from heronwinch.protocol import reports
+from heronwinch.protocol import passing, reports
 from heronwinch.protocol.buffer import Buffer, TooLong
 from heronwinch.protocol.clients import ClientSide, Door, Job, ReadyAsked, Refused, Say, Unheard, as_path
 from heronwinch.protocol.discovery import BadList, DiscoverySide, Host, Listing
@@ -332,3 +332,38 @@
     with pytest.raises(BadList):
         side.feed(data)
         side.feed(b"")
+
+
+# ---- work passed on
+
+
+HOST = Host("w1", ("127.0.0.1", 7), "a", "std", 3, Standing.READY, 1.0, 5)
+
+
+@pytest.mark.parametrize("passed", [
+    passing.Passed(3),
+    passing.Passed(1, True, JOB, 5, 7),
+    passing.Passed(1, False, JOB._replace(ticket=None, body=bytes(range(256)), time_left=None), 5, 7,
+                   (passing.PassedHandOff("w1", 4, 0),), (HOST,), b"\xff\r\n"),
+])
+def test_what_is_passed_on_comes_as_it_was(passed):
+    assert passing.as_passed(passing.message(passed)) == passed
+
+
+@pytest.mark.parametrize("closes", [False, True])
+def test_a_job_passed_on_is_asked_for_again_as_its_client_did(closes):
+    for job_ in (JOB, JOB._replace(ticket=None, body=b"", category="charge", target=b"/charge?sid=7")):
+        side = ClientSide(DOOR)
+        (told,) = feed(side, passing.as_request(job_, closes))
+        assert told[:6] == job_[:6] and side.owed and side.closes == closes
+        assert side.answer(200)[1] == closes
+
+
+def test_what_is_too_long_or_no_message_is_not_passed_on():
+    assert passing.message(passing.Passed(1, False, JOB._replace(body=b"\xff" * passing.MOST))) is None
+    assert passing.as_hello(passing.hello({"render": 1})) == (passing.FORM, {"render": 1})
+    for data in (b"", b"{", b"[]", b'{"known": 1}', b"[1]", b"[1, 2]", b"\xff", b"[" * 100_000):
+        with pytest.raises(passing.BadMessage):
+            passing.as_passed(data)
+        with pytest.raises(passing.BadMessage):
+            passing.as_hello(data)
