--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -263,9 +263,28 @@
     def _pick(self, wi):
         if self._yields(wi):
             return None
+        if self._is_last_try(wi):
+            shown = [w for w in self._heard_within(2 * self.terms.tick)
+                     if self._shows(w, wi.slots) and self._rank(w, wi)[1] > 0]
+            if shown:
+                return self.random.choice(shown)
+            return self._random_open(wi) if wi.asks < 2 * self.terms.most_hand_offs else None
         return self._random_open(wi) or self._random_any(wi)
 
+    def _is_last_try(self, wi):
+        """Turned away so far, with one hand-off left, which goes where room was just shown. Guards against
+        all spent within five milliseconds, and a deferral with all of the time left."""
+        return (len(wi.hos) == self.terms.most_hand_offs - 1 > 0 and self.terms.may_probe
+                and self.terms.dispatchers > 1 and not self.terms.live_weights and not self.doubt)
+
+    def _shows(self, worker, slots):
+        """Whether a report of this moment says that it has so many free."""
+        return (self.now - worker.heard <= 2 * self.terms.tick and worker.free is not None
+                and not worker.waiting and worker.free - worker.since >= slots)
+
     def _should_ask(self, worker, wi):
+        if self._is_last_try(wi):
+            return not self._shows(worker, wi.slots)
         return wi.asks < self.terms.most_hand_offs and not self._known(worker)
 
     def _alone(self):
@@ -438,8 +457,7 @@
         ho = Out(wi, len(wi.hos), worker, now, self._open_slots(worker) > 0)
         if worker.kept:
             worker.kept.pop()
-        ho.shown = (worker.free is not None and not worker.waiting
-                    and now - worker.heard <= 2 * self.terms.tick and worker.free - worker.since >= wi.slots)
+        ho.shown = self._shows(worker, wi.slots)
         self._enter(ho)
         if self.last_sent:
             gap = now - self.last_sent
@@ -838,7 +856,8 @@
 
     def _after_alert(self, worker, wi):
         """The worker asked, if open; else another."""
-        if self._allowed(worker, wi) and self._open_slots(worker, wi.slots) > 0:
+        if (self._allowed(worker, wi) and self._open_slots(worker, wi.slots) > 0
+                and (self._shows(worker, wi.slots) or not self._is_last_try(wi))):
             return worker
         return self._pick(wi)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -765,6 +765,29 @@
     assert (d.sent(7) != []) == goes_again and (d.final(7) == ["WriteOff"]) == (not goes_again)
 
 
+@pytest.mark.parametrize("room, goes", [(0.0, False), (1.0, True)])
+def test_the_last_hand_off_goes_only_where_room_was_just_shown(drive, room, goes):
+    # Guards against all hand-offs spent on full workers within milliseconds, and a deferral with time left.
+    d = drive(workers=(entry(1), entry(2), entry(3)), dispatchers=2, may_probe=True, most_hand_offs=3,
+              category={"due_time": 4000 * MS})
+
+    def tell(free):
+        for worker in [a.worker for a in asked.pop() if type(a) is it.Probe]:
+            said = it.Report(free, None, 0.0, 2.0 - free, None)
+            asked.append(d.do(it.Probed(worker, MS, Outcome.OK, said)))
+    asked = [d.all[:]]
+    tell(2.0)
+    d.do(after=OPEN_AFTER)
+    asked = [d.arrive(1)]
+    for ho in (0, 1):
+        while len(d.sent(1)) == ho:
+            tell(2.0)
+        asked = [d.answer(1, ho, d.sent(1)[ho], Outcome.CONNECT_FAILED, after=1, elapsed=1)]
+    while asked and any(type(a) is it.Probe for a in asked[-1]):
+        tell(room)
+    assert (len(d.sent(1)) == 3) == goes and d.final(1) == []
+
+
 @pytest.mark.parametrize("hos, final", [
     ((), "Defer"), (((1, Outcome.FULL),), "Defer"), (((1, Outcome.RESET), (2, Outcome.FULL)), "WriteOff"),
 ])
