What waits is not starved: its look asks workers that own record has open too

Cause (herd traced): work waited 4 to 9 s with no hand-off at all while later arrivals at the same dispatcher were served in 3 ms: it had asked its share, so only workers heard of in the last 8 ms counted, and the look asked closed ones alone, which at 14 dispatchers hardly any is by own record. Ruled out: shortage of slots (two thirds in use), discovery (back in 1 s).

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -425,15 +425,17 @@
         return workers if len(workers) <= 2 * DRAWS else self.random.sample(workers, DRAWS)
 
     def _beat(self):
-        """Look at all workers, as epochs have passed, and ask the closed one not heard of for longest."""
+        """Look at all workers, as epochs have passed, and ask the one not heard of for longest, also where
+        own record has it open: what waits has asked its share, and goes only where room was just shown.
+        Guards against work that waited for nine seconds while what came after it was served at once."""
         self.beating = False
         self.look = True
         self.looks = min(self.looks + 1, 16)
         if self.queue and self.terms.may_probe and not self.doubt:
-            closed = [worker for worker in self._some(self.usable) if not worker.probing
-                      and worker.shut_until <= self.now and self._open_slots(worker) < 1]
-            if closed:
-                self._probe(min(closed, key=lambda worker: worker.heard))
+            quiet = [worker for worker in self._some(self.usable) if not worker.probing
+                     and worker.shut_until <= self.now]
+            if quiet:
+                self._probe(min(quiet, key=lambda worker: worker.heard))
 
     def _probe(self, worker):
         worker.probing = True
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -765,6 +765,31 @@
     assert (d.sent(7) != []) == goes_again and (d.final(7) == ["WriteOff"]) == (not goes_again)
 
 
+def test_what_has_asked_its_share_is_not_left_to_wait_beside_workers_that_fell_free(drive):
+    d = drive(workers=(entry(1), entry(2)), dispatchers=14, may_probe=True,
+              category={"due_time": 20_000 * MS, "expiry": 30_000 * MS})
+    free, handled = 0.0, 0
+
+    def tell(after=0):
+        nonlocal handled
+        d.do(after=after)
+        while handled < len(d.all):
+            action, handled = d.all[handled], handled + 1
+            if type(action) is it.Probe:
+                said = it.Report(free, None, 0.0, 2.0 - free, None)
+                d.do(it.Probed(action.worker, MS, Outcome.OK, said))
+    tell(OPEN_AFTER)
+    d.dispatcher.run = 100 * MS  # looks are further apart, so reports are old at each
+    d.arrive(1)
+    for _ in range(100):
+        tell(after=50)
+    assert d.sent(1) == []
+    free = 2.0
+    for _ in range(100):
+        tell(after=50)
+    assert d.sent(1) != []
+
+
 @pytest.mark.parametrize("room, goes", [(0.0, False), (1.0, True)])
 def test_the_last_hand_off_goes_only_where_room_was_just_shown(drive, room, goes):
     # Guards against all hand-offs spent on full workers within milliseconds, and a deferral with time left.
