A worker without a word is left only where another is open; the door within spare descriptors

The door's descriptors were taken from the budget: with 40 sockets one was left for workers, so a probe kept out a hand-off (two tests, once waiting work asked more); four callers fit into what was spare.

--- a/heronwinch/net/operators.py
+++ b/heronwinch/net/operators.py
@@ -10,10 +10,9 @@
 
 log = structlog.get_logger()
 
-MOST = 8  # callers at a time
-ACCEPTS = 4  # of them in a loop turn
+MOST = 4  # callers at a time; with those just accepted they are in sockets.SPARE
+ACCEPTS = 2  # of them in a loop turn
 BACKLOG = 64
-HELD = MOST + 2 * ACCEPTS + 1  # descriptors beside the budget: callers, those just accepted, the address
 LONGEST_CALL = 10.0  # seconds that a caller may take
 
 
--- a/heronwinch/net/sockets.py
+++ b/heronwinch/net/sockets.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-SPARE = 20  # standard streams, the loop's own, listener, discovery: at a reload the old and the new one
+SPARE = 20  # standard streams, the loop's own, listener, discovery (at a reload two), nine for the door
 READ_AHEAD = 8 * 1024  # bytes that a stream reads before they are asked for, twice that at most
 LINGER = 0.5  # seconds that a connection may take to send what is left, and its peer to read it
 ONE_MORE_LOOK = 0.001  # seconds: what came as a wait ended, or while the process stood still, is not lost
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -466,8 +466,11 @@
             self.gap = moved(self.gap, gap, 32)
             self._learn_T()
         self.last_sent = now
-        # A worker that takes a job says so at once: without a word it goes elsewhere while it can be in time.
-        patience = 0 if wi.row.effect == Effect.EXCLUSIVE else self.terms.connect_timeout // 2
+        # A worker that takes a job says so at once: without a word it goes elsewhere while it can be in time,
+        # if there is room: the slot that it leaves may stay taken, and where all are, one more is lost.
+        leaves = wi.row.effect != Effect.EXCLUSIVE and any(
+            other is not worker and self._open_slots(other) > 0 for other in self._some(self.usable))
+        patience = self.terms.connect_timeout // 2 if leaves else 0
         self.actions.append(HandOff(wi.id, worker.id, 0, patience))
         if self.terms.progress_every:
             self._watch(ho)
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -10,7 +10,7 @@
 from heronwinch.net.discovery import Discovery
 from heronwinch.net.engine import Engine
 from heronwinch.net.listener import Listener
-from heronwinch.net.operators import HELD, Operators
+from heronwinch.net.operators import Operators
 from heronwinch.net.passing import Passing, Taking
 from heronwinch.net.sockets import Budget
 from heronwinch.net.watch import Watch
@@ -79,7 +79,7 @@
         return terms._replace(dispatchers=2 * terms.dispatchers) if self.overlaps else terms
 
     def _budget(self, plan):
-        sockets = min(plan.sockets, self.machine.descriptors()) - (HELD if plan.mgmt else 0)
+        sockets = min(plan.sockets, self.machine.descriptors())
         share = 1 + self.overlaps
         return Budget(sockets // share, plan.memory_mb // share)
 
