--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -135,7 +135,7 @@
     def dispatcher_up(self, name, tree):
         log = self.logs.setdefault(name, open(os.path.join(self.folder.name, f"{name}.log"), "ab"))  # noqa: SIM115
         environ = {**os.environ, "RELAY_CONFIG": self._config(name, tree)}
-        for variable in ("RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_NAME"):
+        for variable in [name for name in environ if name.startswith("RELAY_") and name != "RELAY_CONFIG"]:
             environ.pop(variable, None)
         self.processes[name] = subprocess.Popen(
             [sys.executable, "-m", "heronwinch"],
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -794,7 +794,7 @@
     (TWO, Effect.RERUNNABLE, True), (TWO, Effect.EXCLUSIVE, False), (TWO[:1], Effect.RERUNNABLE, False),
 ])
 def test_a_silent_worker_is_left_only_where_there_is_room(drive, workers, effect, leaves):
-    # Guards against slots that stay taken where they were left: with all others taken too, each costs one more.
+    # Guards against slots that stay taken where they were left: with all others taken, each costs one more.
     d = drive(workers=workers, effect=effect)
     d.arrive(1, after=OPEN_AFTER)
     d.arrive(2)
