--- a/heronwinch/moving.py
+++ b/heronwinch/moving.py
@@ -10,7 +10,7 @@
 from heronwinch.protocol.reports import NAMES
 from heronwinch.terms import as_word
 
-TOP = ("name", "listen", "discovery", "seed", "limits", "known", "settings")
+TOP = ("name", "listen", "mgmt", "discovery", "seed", "limits", "known", "settings")
 # What the new shape sets whatever the old file says: where it stands, its value, what follows.
 SET = (
     (("weights",), "live", "listed weights move with load and are a worker's busy alert"),
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -9,8 +9,9 @@
 import sys
 
 import pytest
-from conftest import ROOT, free_address, job
+from conftest import MS, ROOT, free_address, job
 
+from heronwinch import interface as it
 from heronwinch.net.passing import NAME as NEXT
 from heronwinch.net.presence import NAME
 from heronwinch.protocol.operators import MOST_LINE, BadCall, OperatorSide, answer
@@ -419,3 +420,37 @@
         assert [(await s.ask())[0] for _ in range(3)] == [200] * 3
         assert "needs_restart= " in s.logged[-1] or s.logged[-1].endswith("needs_restart=")
     stage(scene)
+
+
+# ---- a release of dispatchers
+
+
+def test_a_start_while_discovery_turns_callers_away_serves_by_the_list_it_was_given(stage):
+    # Guards against a herd of dispatchers that starts together: each call more keeps discovery busy.
+    async def scene(s):
+        s.process.kill()
+        s.discovery.failing = True
+        await s.start()
+        calls = len(s.discovery.calls)
+        assert [(await s.ask())[0] for _ in range(5)] == [200] * 5
+        await asyncio.sleep(8)
+        assert 1 <= len(s.discovery.calls) - calls <= 6
+        s.discovery.failing = False
+        s.discovery.changed()
+        await asyncio.sleep(5)
+        assert "discovery_back" in "".join(s.logged)
+    stage(scene)
+
+
+def test_the_calls_of_many_that_start_together_drift_apart(drive):
+    pauses = [[], []]  # after the first failure and the third
+    for seed in range(48):
+        d = drive(seed=seed, connect_timeout=250 * MS)
+        for failure in range(3):
+            before = len(d.timers)
+            d.do(it.Listed(it.ListKind.FAILED, 0, ()))
+            if failure != 1:
+                pauses[failure // 2].append(d.timers[before][0] - d.now)
+            d.do(after=5000)
+    assert min(pauses[1]) > min(pauses[0]) and sum(pauses[1]) > 2 * sum(pauses[0])
+    assert all(max(each) > 2 * min(each) and len(set(each)) == 48 for each in pauses)
