--- a/heronwinch/__main__.py
+++ b/heronwinch/__main__.py
@@ -1,59 +1,21 @@
-"""A dispatcher on real sockets: reads RELAY_* and the configuration they name, and runs."""
+"""The way in: `python -m heronwinch` and the command `heronwinch`."""
 
-import asyncio
-import gc
-import logging
-import os
-import signal
 import sys
 
-import structlog
-
-from heronwinch.net.machine import Machine
-from heronwinch.plan import PlanError, read_plan
-from heronwinch.policy import Dispatcher
-from heronwinch.program import Program, Unlistenable
-
-
-def main():
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"]),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
-        cache_logger_on_first_use=True,
-    )
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # up to when it can be heeded, the file is still to be read
-    try:
-        plan = read_plan(os.environ)
-    except PlanError as fault:
-        print(f"heronwinch: {fault}", file=sys.stderr)
-        return 2
-    gc.freeze()  # what the imports made stays: collections need not walk it
-    try:
-        asyncio.run(_run(plan))
-    except Unlistenable as fault:
-        print(f"heronwinch: {fault}", file=sys.stderr)
-        return 1
-    return 0
-
-
-async def _run(plan):
-    await Program(plan, Machine(), Dispatcher, lambda: read_plan(os.environ, again=True)).run()
+from heronwinch.start import serve
 
 
 def command():
-    """Without words, or with `serve` alone, the dispatcher; all else needs more than `run` has."""
+    """Without words the dispatcher, which loads nothing of the command line; all else is the command line's.
+
+    The value is the exit status. Where a package that the command line needs is missing (`requirements.txt`
+    alone brings what a dispatcher needs), one line says which and how to have it, and the status is 2."""
     if len(sys.argv) < 2 or sys.argv[1:] == ["serve"]:
-        return main()
+        return serve()
     try:
         from heronwinch.cli import main as run
     except ModuleNotFoundError as fault:
-        print(f"heronwinch: {fault.name} is missing; pip install 'heronwinch[rehearsal]'", file=sys.stderr)
+        print(f"heronwinch: {fault.name} is missing; pip install .", file=sys.stderr)
         return 2
     return run()
 
--- a/heronwinch/cli.py
+++ b/heronwinch/cli.py
@@ -1,12 +1,14 @@
 """The command line. Without arguments `python -m heronwinch` goes on serving and imports none of this."""
 
 import contextlib
+import difflib
 import json
 import os
 import sys
 
 import click
 
+from heronwinch import __version__
 from heronwinch.rehearsal.baselines import POLICIES
 
 KEPT, BROKEN, BAD_INPUT, FAILED = 0, 1, 2, 3  # exit statuses
@@ -30,8 +32,19 @@
         click.echo(f"heronwinch: {self.message}", err=True)
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
-@click.version_option(package_name="heronwinch")
+class Commands(click.Group):
+    """Commands, of which an unknown one is bad input like any other: one plain line."""
+
+    def resolve_command(self, ctx, args):
+        if args and args[0] not in self.commands and not args[0].startswith("-"):
+            near = difflib.get_close_matches(args[0], self.commands, 1)
+            mend = f"did you mean {near[0]}?" if near else f"there are {', '.join(sorted(self.commands))}"
+            raise Bad(f"there is no command {args[0]}; {mend}")
+        return super().resolve_command(ctx, args)
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(__version__, prog_name="heronwinch")
 def main():
     """A dispatcher beside each submitter that pushes work items to workers, and rehearsals of a fleet of
     them.
@@ -43,7 +56,7 @@
 @main.command()
 def serve():
     """Run a dispatcher; the configuration is told by RELAY_CONFIG."""
-    from heronwinch.__main__ import main as run
+    from heronwinch.start import serve as run
 
     sys.exit(run())
 
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -10,6 +10,7 @@
 import pytest
 from conftest import ROOT, SCRIPT, trouble
 
+import heronwinch
 from heronwinch.interface import SECOND, Effect
 from heronwinch.policy import Dispatcher
 from heronwinch.rehearsal import experiment, explorer, faults, loopback
@@ -499,6 +500,8 @@
         (["rehearse", "nowhere.toml"], 2, "cannot be read"),
         (["explore", "--runs", "1", "--fault", "none"], 2, "no fault is called none"),
         (["rehearse", "{good}", "--policy", "best"], 2, "is not one of"),
+        (["rehears"], 2, "heronwinch: there is no command rehears; did you mean rehearse?\n"),
+        (["fly"], 2, "heronwinch: there is no command fly; there are emulate, "),
     ],
 )
 def test_bad_input_ends_with_two_and_one_line(tmp_path, args, status, says):
@@ -511,6 +514,12 @@
     assert done.returncode == status and says in done.stderr and "Traceback" not in done.stderr
 
 
+def test_the_version_is_told_without_an_install():
+    done = subprocess.run([sys.executable, "-m", "heronwinch", "--version"], cwd=ROOT, capture_output=True,
+                          text=True, timeout=60)
+    assert done.returncode == 0 and done.stdout.strip() == f"heronwinch, version {heronwinch.__version__}"
+
+
 def test_serving_imports_nothing_of_the_rehearsals():
     words = "click|msgspec|hdrh|heronwinch.rehearsal|heronwinch.cli|tomllib"
     code = (
@@ -521,7 +530,7 @@
     assert done.stdout.strip() == "[]", done.stdout
 
 
-def test_without_the_extra_the_command_says_what_is_missing():
+def test_without_its_packages_the_command_says_what_is_missing():
     code = (
         "import sys; sys.modules['click'] = None; sys.argv = ['heronwinch', 'rehearse', 'x.toml']; "
         "from heronwinch.__main__ import command; sys.exit(command())"
