Cold workers that show room are taken without a draw where their slots bound the work

Ruled out: reports in doubt (0 to 4 at a time), planned stops (none), all hand-offs spent (under 5%), early giving up (2 of 2,979). At fault: _cold_may_take. With 200 dispatchers a part of the budget is less than a work item, so one draw a window admits it, after passing over by chance; each dispatcher looks at a given cold worker less than once a window, so most draws are never made. Change: where the slots full of such work and what they end within a window are under the whole budget, a cold worker may be asked, and is taken when it shows a free slot; the draw stays for heavier work, in doubt and without probes.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -899,14 +899,25 @@
         terms = self.terms
         age = max(0, self.now - worker.started_at) / terms.warm_up
         part = terms.cold_share + (1 - terms.cold_share) * age
+        work = self._work(wi)
+        # Its slots full of such work, and what they end within a window on top, are less than it stands: then
+        # no number of dispatchers that each take a slot just shown free can push it over, and no draw is
+        # needed. By the draw alone each looks too seldom to use its part: cold workers stood idle while a
+        # fifth of all work was deferred beside them. Covers any return of many cold workers; harm is possible
+        # where a worker says that it has room and has none, so not in doubt.
+        full = terms.may_probe and not self._alone() and work <= (
+            (terms.push_multiple - 1) * part * terms.push_window * wi.slots)
+        if full and self._shows(worker, wi.slots):
+            return True
         if self.random.random() > part:
             return False  # passed over by chance, less often as it warms
+        if full and not self._known(worker):
+            return True  # to be asked
         pushed = worker.pushed
         while pushed and pushed[0][0] <= self.now - terms.push_window:
             pushed.popleft()
         budget = terms.push_multiple * part * self._least_slots(worker) * terms.push_window
         budget /= terms.dispatchers
-        work = self._work(wi)
         if work <= budget:
             return sum(work for _, work in pushed) + work <= budget
         # With many dispatchers one's part of the budget admits no work item, and cold workers would stay
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -450,6 +450,25 @@
     assert 0 < sent * 400 <= 4.0 * (0.12 + 0.88 * age) * 2 * 2000
 
 
+@pytest.mark.parametrize("run, free, sent", [(400, 2.0, True), (400, 0.0, False), (2000, 2.0, False)])
+def test_a_cold_worker_that_shows_room_is_used_where_its_slots_bound_the_work(run, free, sent):
+    # Guards against cold workers that stand idle: each of many dispatchers alone draws too seldom.
+    used = 0
+    for seed in range(20):
+        d = Driver(TERMS._replace(dispatchers=200, may_probe=True), seed, (entry(1, started_at=1),))
+        worker = d.dispatcher.workers[1]
+        d.dispatcher.run = d.dispatcher.rows[0].run = run * MS
+        d.do(after=1100)
+        worker.started_at = d.now - 4000 * MS
+        d.arrive(1, after=1)
+        for _ in range(8):
+            if any(type(a) is it.Probe for a in d.all[-3:]):
+                d.do(it.Probed(1, MS, it.Outcome.OK, report(free)), after=1)
+            d.do(after=25)
+        used += bool(d.sent(1))
+    assert (used > 3) == sent, used
+
+
 @pytest.mark.parametrize("fleet, asked", [(12, 12), (200, 8)])
 def test_a_few_of_a_large_fleet_are_asked_at_the_start(drive, fleet, asked):
     d = drive(workers=[entry(w) for w in range(fleet)], dispatchers=300, may_probe=True)
