--- a/heronwinch/cli.py
+++ b/heronwinch/cli.py
@@ -11,6 +11,7 @@
 from heronwinch import __version__
 from heronwinch.rehearsal.baselines import POLICIES
 
+GATE = 0.5  # of the credit of the policy that it is played beside
 KEPT, BROKEN, BAD_INPUT, FAILED = 0, 1, 2, 3  # exit statuses
 
 
@@ -100,6 +101,8 @@
 
 def summary(tree):
     """A run in a few lines."""
+    from heronwinch.rehearsal.costs import as_lines
+
     credit = "-" if tree["credit"] is None else f"{tree['credit']:.4f}"
     answers = " ".join(f"{name}:{count}" for name, count in tree["answers"].items())
     yield (
@@ -115,6 +118,7 @@
             f"  {name:<16} credit {row['credit']}  p50 {row['p50_ms']} ms  p99 {row['p99_ms']} ms"
             f"  p99.9 {row['p99.9_ms']} ms"
         )
+    yield from as_lines(tree)
     if tree["fallen"]:
         yield f"fallen workers: {', '.join(tree['fallen'])}"
     if tree["digest"]:
@@ -131,6 +135,12 @@
         click.echo(line)
     for line in courses(judge, breaches):
         click.echo(line)
+    beside = tree.get("beside")
+    if beside:
+        click.echo(f"{beside['part']} of the credit of {beside['policy']} ({beside['credit']})")
+        if beside["part"] is not None and beside["part"] < GATE:
+            click.echo(f"under {GATE} of it")
+            sys.exit(BROKEN)
     if breaches:
         click.echo("rules broken: " + ", ".join(f"{rule} {n}" for rule, n in tree["rules"].items() if n))
         sys.exit(BROKEN)
@@ -145,12 +155,21 @@
 )
 @click.option("--json", "path", metavar="FILE", help="Write the figures and breaches there.")
 @click.option("--logs", metavar="FILE", help="Write the dispatchers' log events there, a JSON line each.")
-def rehearse(script, seed, policy, path, logs):
+@click.option(
+    "--size", type=click.FloatRange(0, 1, min_open=True), default=1.0, show_default=True,
+    help="Play a twin at this part of its size.",
+)  # fmt: skip
+@click.option(
+    "--beside", type=click.Choice(list(POLICIES)), default=None,
+    help="Play this policy too, and tell what part of its credit was earned; under half is a broken gate.",
+)  # fmt: skip
+def rehearse(script, seed, policy, path, logs, size, beside):
     """Play SCRIPT in virtual time: the same seed, the same run to the byte."""
     from heronwinch.rehearsal.account import account
+    from heronwinch.rehearsal.script import twin
     from heronwinch.rehearsal.virtual import rehearse as play
 
-    told = read(script)
+    told = twin(read(script), size)
     progress = Progress(told.name, told.seconds / 1e9)
     try:
         stage, ground = play(told, seed, POLICIES[policy], progress)
@@ -166,6 +185,11 @@
     tree, breaches, judge = account(
         told, seed, policy, stage.ledgers, ground.kernel.digest(), ground.kernel.events
     )
+    if beside:
+        other, _ = play(told, seed, POLICIES[beside])
+        against = account(told, seed, beside, other.ledgers)[0]["credit"]
+        part = round(tree["credit"] / against, 4) if against and tree["credit"] is not None else None
+        tree["beside"] = {"policy": beside, "credit": against, "part": part}
     finish(tree, breaches, judge, path)
 
 
--- a/heronwinch/rehearsal/account.py
+++ b/heronwinch/rehearsal/account.py
@@ -4,6 +4,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from heronwinch.rehearsal.costs import costs
 from heronwinch.rehearsal.judge import RULES, SLACK, Judge
 
 PERCENTILES = (50, 90, 99, 99.9)
@@ -93,6 +94,7 @@
         "bad_clients": len(ledgers.rude),
         "categories": {name: tally.tree() for name, tally in sorted(by_category.items())},
         "accounts": {name: tally.tree() for name, tally in sorted(by_account.items())},
+        "costs": costs(script, ledgers),
         "fallen": [worker for _, worker, _, _ in ledgers.fallen],
         "troubles": dict(sorted(ledgers.troubles.items())),
         "rules": {rule: sum(breach.rule == rule for breach in breaches) for rule in RULES},
--- a/heronwinch/rehearsal/baselines.py
+++ b/heronwinch/rehearsal/baselines.py
@@ -198,10 +198,41 @@
     minds_cold = False
 
 
+class LateSeeing(Plain):
+    """Sees the true state of all workers as it was a moment ago, which no dispatcher can: what is open to a
+    policy that knows everything but the last moment. The ground tells it by `sees(look)`; `look(number)`
+    gives the slots that a worker had free then less what waited there, and when that was, or None."""
+
+    def sees(self, look):
+        self.look = look
+        self.own = {}  # worker -> (when it was seen, own hand-offs since)
+
+    def choose(self, candidates):
+        """One with the most room, own hand-offs since counted, by chance among those with any."""
+        rooms = {}
+        for worker in candidates:
+            room, when = self.look(worker) or (0.0, 0)
+            seen, since = self.own.get(worker, (when, 0))
+            if seen != when:
+                since = 0
+            self.own[worker] = when, since
+            rooms[worker] = room - since
+        with_room = [worker for worker in candidates if rooms[worker] >= 1]
+        if with_room:
+            chosen = self.random.choices(with_room, [rooms[worker] for worker in with_room])[0]
+        else:
+            most = max(rooms.values())
+            chosen = self.random.choice([worker for worker in candidates if rooms[worker] == most])
+        when, since = self.own[chosen]
+        self.own[chosen] = when, since + 1
+        return chosen
+
+
 POLICIES = {
     "module": Dispatcher,
     "random": RandomChoice,
     "two-choices": TwoChoices,
     "least-own": LeastOwn,
     "careless": Careless,
+    "late-seeing": LateSeeing,
 }
--- /dev/null
+++ b/heronwinch/rehearsal/costs.py
@@ -0,0 +1,96 @@
+"""What a fleet of dispatchers costs all together, which none of them sees: probes, new connections, calls for
+the list, what cold workers were given; and how long credit takes to come back after a trouble.
+
+Sources: the stand-ins' own counts, so nothing that a dispatcher says of itself."""
+
+from heronwinch.interface import SECOND
+from heronwinch.rehearsal.judge import SLACK
+
+BACK = 0.95  # of the credit before a trouble: then it is over
+LOOKED = 5  # seconds before a trouble that say what was usual
+EVEN = 3  # seconds over which credit is averaged: one alone moves by chance
+
+
+def earned(wanted, asks):
+    """(credit asked, credit earned) of one work item; nothing was asked where its client left early."""
+    kind = wanted.kind
+    done = next((ask for ask in asks if ask.status == 200 and ask.answered), None)
+    if done is None:
+        return (0.0 if wanted.patience else kind.credit), 0.0
+    took = done.answered - wanted.came
+    if took <= kind.due_time + kind.stretch * wanted.work:
+        return kind.credit, kind.credit
+    return kind.credit, kind.late_credit * kind.credit if took <= kind.expiry + SLACK else 0.0
+
+
+def by_second(wants):
+    """Second of coming -> [credit asked, credit earned]."""
+    seconds = {}
+    for wanted, asks in wants:
+        row = seconds.setdefault(wanted.came // SECOND, [0.0, 0.0])
+        for i, credit in enumerate(earned(wanted, asks)):
+            row[i] += credit
+    return seconds
+
+
+def _share(seconds, begins, ends):
+    asked = sum(seconds[s][0] for s in range(begins, ends) if s in seconds)
+    return sum(seconds[s][1] for s in range(begins, ends) if s in seconds) / asked if asked else None
+
+
+def recoveries(script, wants, begins):
+    """For each trouble (what, when it began, when it was over, seconds from then until credit was back at
+    BACK of before, None where it was not within the run), in seconds from the start of traffic, `begins`."""
+    seconds = by_second(wants)
+    first = begins // SECOND
+    last = first + script.seconds // SECOND
+    for trouble in script.troubles:
+        starts = int(trouble.at)
+        over = starts + int(trouble.lasts) + max(0, trouble.waves - 1) * int(trouble.every)
+        at = first + starts // SECOND
+        usual = _share(seconds, max(first, at - LOOKED), at)
+        back = None
+        for second in range(first + -(-over // SECOND), last - EVEN + 1):
+            share = _share(seconds, second, second + EVEN)
+            if usual is None or share is not None and share >= BACK * usual:
+                back = second - first - over / SECOND
+                break
+        yield trouble.what, starts / SECOND, over / SECOND, None if back is None else max(0.0, round(back, 1))
+
+
+def costs(script, ledgers):
+    """What was paid together, as a tree."""
+    meter, asks = ledgers.meter, max(1, len(ledgers.asks))
+
+    def row(counts):
+        return {"a_request": round(sum(counts.values()) / asks, 3), "peak_s": max(counts.values(), default=0)}
+
+    return {
+        "hand_offs": {"a_request": round(len(ledgers.runs) / asks, 3)},
+        "probes": row(meter.probes),
+        "new_connections": row(meter.connections),
+        "list_calls": row(meter.calls) | {"turned_away": sum(meter.refused.values())},
+        "most_connections_at_a_worker": meter.most_connections,
+        "cold_budget_spent": round(meter.pushed, 3),
+        "back": [
+            {"what": what, "at_s": at, "over_s": over, "after_s": after}
+            for what, at, over, after in recoveries(script, ledgers.wants, ledgers.begins)
+        ],
+    }
+
+
+def as_lines(tree):
+    """The same in a few lines."""
+    said = tree["costs"]
+    yield "a request: " + ", ".join(
+        f"{said[name]['a_request']} {name.replace('_', ' ')}"
+        for name in ("hand_offs", "probes", "new_connections", "list_calls"))
+    yield "most in a second: " + ", ".join(
+        f"{said[name]['peak_s']} {name.replace('_', ' ')}"
+        for name in ("probes", "new_connections", "list_calls")
+    ) + f"; list calls turned away {said['list_calls']['turned_away']}"
+    yield (f"most connections at a worker {said['most_connections_at_a_worker']}, most given to a cold one "
+           f"{said['cold_budget_spent']} of what it stands")
+    for row in said["back"]:
+        after = "not within the run" if row["after_s"] is None else f"{row['after_s']:g} s later"
+        yield f"{row['what']} {row['at_s']:g} to {row['over_s']:g} s: credit back {after}"
--- a/heronwinch/rehearsal/ledgers.py
+++ b/heronwinch/rehearsal/ledgers.py
@@ -3,6 +3,8 @@
 
 from collections import Counter
 
+from heronwinch.rehearsal.meter import Meter
+
 
 class Spell:
     """Something done from outside, for as long as it acts."""
@@ -29,6 +31,8 @@
         self.faults = []  # (dispatcher, what) that the program or its process said of itself
         self.troubles = Counter()  # what the programs counted
         self.records = []  # course.Record, for courses
+        self.begins = 0  # when traffic began
+        self.meter = Meter()
         self.lives = {}  # dispatcher -> when it started, each time
 
     def begin(self, what, target, now):
--- a/heronwinch/rehearsal/models/worker.py
+++ b/heronwinch/rehearsal/models/worker.py
@@ -130,6 +130,7 @@
         self.held = 0.0  # memory
         self.taken = deque()  # (when, work) while cold, for the collapse
         self.taken_work = 0.0
+        self.pushed = 0.0  # the most of what it stands that it was given while cold
         self.fallen = False
         self.draining = False
         self.paused_until = 0
@@ -281,6 +282,7 @@
         while self.taken[0][0] <= now - shape.push_window:
             self.taken_work -= self.taken.popleft()[1]
         stands = shape.push_multiple * self.share(now) * shape.slots * shape.speed * shape.push_window
+        self.pushed = max(self.pushed, self.taken_work / stands)
         if self.taken_work > stands:
             self.fallen = True
             self.kill(now)
--- a/heronwinch/rehearsal/stage.py
+++ b/heronwinch/rehearsal/stage.py
@@ -6,6 +6,7 @@
 """
 
 import signal
+from math import exp
 
 from heronwinch.interface import SECOND, Group
 from heronwinch.rehearsal import script as scripts
@@ -77,6 +78,7 @@
             fleet.connections,
             int(fleet.idle),
             lambda: stage.after(0, self.fell),
+            stage.ledgers.meter,
         )
         self.is_up = True
         stage.ground.worker_up(self.name, self.server, self.address)
@@ -84,6 +86,7 @@
     def down(self, quietly=False):
         if self.is_up:
             self.is_up = False
+            self.stage.ledgers.meter.fed(self.model.pushed)
             self.model.kill(self.stage.now())
             self.stage.ledgers.forged += [(self.name, *forged) for forged in self.server.forged]
             self.stage.ground.worker_down(self.name, self.server, quietly)
@@ -180,8 +183,9 @@
             ground.clock, self.random("rude"), self.front, self.ledgers.rude, script.categories[0].name
         )
         self.discovery = DiscoveryServer(
-            self.roster, ground.clock, int(script.discovery.work), int(script.discovery.longest)
-        )
+            self.roster, ground.clock, int(script.discovery.work), int(script.discovery.longest),
+            self.ledgers.meter,
+        )  # fmt: skip
         self.arrivals = []
         self.started = 0
 
@@ -217,10 +221,15 @@
         self.ground.discovery_up(self.discovery, self.dispatchers)
         for place in self.dispatchers.values():
             place.discovery = self.ground.discovery_address(place.name, 0)
-            self.front.add(place.name, place.address)
+            self.front.add(place.name, place.address, self._weight(place.name))
             place.up()
         self.ground.clients_up(self._play)
 
+    def _weight(self, name):
+        """How much of the traffic comes to a dispatcher, where it is uneven: lognormal."""
+        spread = self.script.dispatchers.uneven
+        return exp(spread * self.random("uneven", name).gauss(0.0, 1.0)) if spread else 1.0
+
     def lasts(self):
         """Nanoseconds from `set_up` to the end."""
         return READY + int(self.script.seconds) + self.tail()
@@ -236,6 +245,7 @@
             await sleep(0.01)
         begins = self.started + READY
         await sleep((begins - self.now()) / SECOND)
+        self.ledgers.begins = begins
         ends = begins + int(self.script.seconds)
         for i, flow in enumerate(scripts.flows(self.script)):
             arrivals = Arrivals(flow, self.kinds[flow.category], self.random("flow", i), begins, ends)
--- a/heronwinch/rehearsal/standins/clients.py
+++ b/heronwinch/rehearsal/standins/clients.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+from bisect import bisect_right
+from itertools import accumulate
 
 from heronwinch.interface import SECOND
 from heronwinch.protocol.asking import Asking, BrokenPeer, End, Head, Part
@@ -274,18 +276,30 @@
     def __init__(self, random):
         self.random = random
         self.addresses = {}
+        self.weights = {}  # how much of the traffic comes to each, beside the others
+        self.sums = None  # of the weights of those taken in, up to each; None: they are all alike
         self.taken_in = []
         self.asking = {}
         self.loop = None
 
-    def add(self, dispatcher, address):
+    def add(self, dispatcher, address, weight=1.0):
         self.addresses[dispatcher] = address
+        self.weights[dispatcher] = weight
+
+    def reweigh(self):
+        """Weights have changed, or who is taken in."""
+        weights = [self.weights[name] for name in self.taken_in]
+        self.sums = list(accumulate(weights)) if len(set(weights)) > 1 else None
 
     def address(self, dispatcher):
         return self.addresses[dispatcher]
 
     def pick(self):
-        return self.random.choice(self.taken_in) if self.taken_in else None
+        if not self.taken_in:
+            return None
+        if self.sums is None:
+            return self.random.choice(self.taken_in)
+        return self.taken_in[bisect_right(self.sums, self.random.random() * self.sums[-1], 0, -1)]
 
     def start(self):
         self.loop = asyncio.get_running_loop()
@@ -304,6 +318,7 @@
     def _out(self, dispatcher):
         if dispatcher in self.taken_in:
             self.taken_in.remove(dispatcher)
+            self.reweigh()
         self.watch(dispatcher)
 
     async def _until_ready(self, dispatcher):
@@ -313,6 +328,7 @@
             if dispatcher not in self.taken_in:
                 self.taken_in.append(dispatcher)
                 self.taken_in.sort()
+                self.reweigh()
         finally:
             self.asking.pop(dispatcher, None)
 
--- a/heronwinch/rehearsal/standins/http.py
+++ b/heronwinch/rehearsal/standins/http.py
@@ -80,6 +80,7 @@
             transport.abort()
             return
         self.server.connections[self] = None
+        self.server.connected()
 
     def data_received(self, data):
         if not self.began:
@@ -179,6 +180,9 @@
         for connection in list(self.connections):
             connection.abort()
 
+    def connected(self):
+        """A connection has come; for whoever counts them."""
+
     def answer(self, exchange):
         raise NotImplementedError
 
--- a/heronwinch/rehearsal/standins/worker.py
+++ b/heronwinch/rehearsal/standins/worker.py
@@ -32,10 +32,12 @@
     falls over."""
 
     def __init__(
-        self, model, clock, kinds, reports="answers", probes=True, most=1 << 30, idle=0, fell=lambda: None
-    ):
+        self, model, clock, kinds, reports="answers", probes=True, most=1 << 30, idle=0, fell=lambda: None,
+        meter=None,
+    ):  # fmt: skip
         super().__init__(clock, most, idle)
         self.model, self.kinds, self.reports, self.probes, self.fell = model, kinds, reports, probes, fell
+        self.meter = meter  # a Meter, where the fleet's costs are counted
         self.exchanges = {}  # run -> its exchange
         self.later = []  # exchanges that came in a pause
         self.timer = None
@@ -58,7 +60,13 @@
             self._offer(exchange)
         self.pump()
 
+    def connected(self):
+        if self.meter is not None:
+            self.meter.connected(self.clock.now(), len(self.connections))
+
     def _probe(self, exchange):
+        if self.meter is not None:
+            self.meter.probed(self.clock.now())
         path = exchange.request.target
         if self.model.suffers("mute"):
             return
