--- a/heronwinch/rehearsal/measure.py
+++ b/heronwinch/rehearsal/measure.py
@@ -11,7 +11,7 @@
 from heronwinch.rehearsal.virtual import rehearse
 
 WORKERS = (10, 50, 200)
-DISPATCHERS = (1, 8, 40)
+DISPATCHERS = (1, 8, 40, 200, 400)
 ITEMS = 3000  # about so many work items a cell
 MS = 1_000_000
 
