--- a/heronwinch/rehearsal/account.py
+++ b/heronwinch/rehearsal/account.py
@@ -4,8 +4,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from heronwinch.rehearsal.costs import costs
-from heronwinch.rehearsal.judge import RULES, SLACK, Judge
+from heronwinch.rehearsal.costs import IN_TIME, LATE, LEFT, TOO_LATE, costs, earned
+from heronwinch.rehearsal.judge import RULES, Judge
 
 PERCENTILES = (50, 90, 99, 99.9)
 SHOWN = 20  # breaches with their course
@@ -21,23 +21,15 @@
         self.times = HdrHistogram(1, 3_600_000_000, 3)  # microseconds
 
     def add(self, wanted, asks):
-        kind = wanted.kind
+        got = earned(wanted, asks)
         self.wanted += 1
-        done = next((ask for ask in asks if ask.status == 200 and ask.answered), None)
-        if done is None and wanted.patience:
-            self.left += 1  # the client did not want it to the end
-            return
-        self.asked += kind.credit
-        if done is None:
-            return
-        took = done.answered - wanted.came
-        self.times.record_value(max(1, took // 1000))
-        if took <= kind.due_time + kind.stretch * wanted.work:
-            self.in_time += 1
-            self.earned += kind.credit
-        elif took <= kind.expiry + SLACK:
-            self.late += 1
-            self.earned += kind.late_credit * kind.credit
+        self.asked += got.asked
+        self.earned += got.credit
+        self.in_time += got.how == IN_TIME
+        self.late += got.how == LATE
+        self.left += got.how == LEFT
+        if got.how in (IN_TIME, LATE, TOO_LATE):
+            self.times.record_value(max(1, got.took // 1000))
 
     def tree(self):
         times = {f"p{p:g}_ms": round(self.times.get_value_at_percentile(p) / 1000, 3) for p in PERCENTILES}
--- a/heronwinch/rehearsal/costs.py
+++ b/heronwinch/rehearsal/costs.py
@@ -3,24 +3,40 @@
 
 Sources: the stand-ins' own counts, so nothing that a dispatcher says of itself."""
 
+from typing import NamedTuple
+
 from heronwinch.interface import SECOND
 from heronwinch.rehearsal.judge import SLACK
+from heronwinch.rehearsal.meter import peak
 
 BACK = 0.95  # of the credit before a trouble: then it is over
 LOOKED = 5  # seconds before a trouble that say what was usual
 EVEN = 3  # seconds over which credit is averaged: one alone moves by chance
 
 
+IN_TIME, LATE, TOO_LATE, LEFT, NONE = "in time", "late", "too late", "left", "none"
+
+
+class Earned(NamedTuple):
+    """What came of one work item; times are nanoseconds."""
+
+    how: str
+    asked: float  # credit; none where its client left before its time was up
+    credit: float
+    took: int = 0  # up to its result
+
+
 def earned(wanted, asks):
-    """(credit asked, credit earned) of one work item; nothing was asked where its client left early."""
     kind = wanted.kind
     done = next((ask for ask in asks if ask.status == 200 and ask.answered), None)
     if done is None:
-        return (0.0 if wanted.patience else kind.credit), 0.0
+        return Earned(LEFT, 0.0, 0.0) if wanted.patience else Earned(NONE, kind.credit, 0.0)
     took = done.answered - wanted.came
     if took <= kind.due_time + kind.stretch * wanted.work:
-        return kind.credit, kind.credit
-    return kind.credit, kind.late_credit * kind.credit if took <= kind.expiry + SLACK else 0.0
+        return Earned(IN_TIME, kind.credit, kind.credit, took)
+    if took <= kind.expiry + SLACK:
+        return Earned(LATE, kind.credit, kind.late_credit * kind.credit, took)
+    return Earned(TOO_LATE, kind.credit, 0.0, took)
 
 
 def by_second(wants):
@@ -28,8 +44,9 @@
     seconds = {}
     for wanted, asks in wants:
         row = seconds.setdefault(wanted.came // SECOND, [0.0, 0.0])
-        for i, credit in enumerate(earned(wanted, asks)):
-            row[i] += credit
+        got = earned(wanted, asks)
+        row[0] += got.asked
+        row[1] += got.credit
     return seconds
 
 
@@ -63,13 +80,13 @@
     meter, asks = ledgers.meter, max(1, len(ledgers.asks))
 
     def row(counts):
-        return {"a_request": round(sum(counts.values()) / asks, 3), "peak_s": max(counts.values(), default=0)}
+        return {"a_request": round(counts.total() / asks, 3), "peak_s": peak(counts)}
 
     return {
         "hand_offs": {"a_request": round(len(ledgers.runs) / asks, 3)},
         "probes": row(meter.probes),
         "new_connections": row(meter.connections),
-        "list_calls": row(meter.calls) | {"turned_away": sum(meter.refused.values())},
+        "list_calls": row(meter.calls) | {"turned_away": meter.refused.total()},
         "most_connections_at_a_worker": meter.most_connections,
         "cold_budget_spent": round(meter.pushed, 3),
         "back": [
--- a/heronwinch/rehearsal/judge.py
+++ b/heronwinch/rehearsal/judge.py
@@ -10,6 +10,7 @@
 
 from heronwinch.interface import Effect, Group
 from heronwinch.rehearsal import script as scripts
+from heronwinch.rehearsal.meter import peak
 from heronwinch.rehearsal.standins.clients import ANSWERED, CLOSED, UNANSWERED, UNSENT
 from heronwinch.rehearsal.standins.rude import SOON
 
@@ -85,12 +86,11 @@
         bounds, meter = self.script.bounds, self.ledgers.meter
         asks = max(1, len(self.ledgers.asks))
         for what, paid, bound in (
-            ("probes a request", sum(meter.probes.values()) / asks, bounds.probes),
-            ("probes in a second", max(meter.probes.values(), default=0), bounds.probes_peak),
-            ("new connections in a second", max(meter.connections.values(), default=0),
-             bounds.new_connections_peak),
-            ("list calls in a second", max(meter.calls.values(), default=0), bounds.list_calls_peak),
-        ):  # fmt: skip
+            ("probes a request", meter.probes.total() / asks, bounds.probes),
+            ("probes in a second", peak(meter.probes), bounds.probes_peak),
+            ("new connections in a second", peak(meter.connections), bounds.new_connections_peak),
+            ("list calls in a second", peak(meter.calls), bounds.list_calls_peak),
+        ):
             if bound and paid > bound:
                 self._broken(COSTS, 0, "all", f"{paid:.2f} {what}, {bound:g} at most")
 
--- a/heronwinch/rehearsal/meter.py
+++ b/heronwinch/rehearsal/meter.py
@@ -5,6 +5,11 @@
 from heronwinch.interface import SECOND
 
 
+def peak(counts):
+    """Of the dearest second."""
+    return max(counts.values(), default=0)
+
+
 class Meter:
     """Counts, a second each. Stand-ins call it with the time in nanoseconds."""
 
--- a/heronwinch/rehearsal/script.py
+++ b/heronwinch/rehearsal/script.py
@@ -449,7 +449,7 @@
             pause_for=int(fleet.pause_for),
             report_every=int(fleet.report_every),
             report_noise=fleet.report_noise,
-            area=fleet.areas[i % len(fleet.areas)],
+            area=area_of(script, name),
             kind=kind.name,
             pod=i % fleet.pods,
         )
@@ -547,7 +547,7 @@
         "tick_ns": int(own.tick),
         "areas": fleet.areas,
         "realms": [],
-        "az": fleet.areas[i % len(fleet.areas)],
+        "az": area_of(script, dispatcher),
         "models": [kind.name for kind in fleet.kinds] or ["std"],
         "discovery": "pushed" if script.discovery.pushed else "on_request",
         "excess_credit": 1.0,
--- a/heronwinch/rehearsal/standins/discovery.py
+++ b/heronwinch/rehearsal/standins/discovery.py
@@ -4,6 +4,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from heronwinch.interface import SECOND
+from heronwinch.rehearsal.meter import Meter
 from heronwinch.rehearsal.standins.http import HttpServer
 
 
@@ -14,7 +15,7 @@
     def __init__(self, roster, clock, work=1_000_000, longest=2 * SECOND, meter=None):
         super().__init__(clock)
         self.roster, self.work, self.longest = roster, work, longest
-        self.meter = meter  # a Meter, where the fleet's costs are counted
+        self.meter = meter or Meter()
         self.free_at = 0
         self.askers = {}  # port -> dispatcher
         self.watches = {}  # exchange -> (dispatcher, version, its timer)
@@ -36,15 +37,13 @@
             return
         asked = {name: int(value[0]) for name, value in parse_qs(path.query).items()}
         self.heard(asked)
-        if self.meter is not None:
-            self.meter.called(now)
+        self.meter.called(now)
         if self.roster.failing:
             exchange.whole(503) if self.count % 2 else exchange.reset()
             return
         begins = max(now, self.free_at)
         if begins - now > self.longest:
-            if self.meter is not None:
-                self.meter.turned_away(now)
+            self.meter.turned_away(now)
             exchange.whole(503)
             return
         self.free_at = begins + self.work
--- a/heronwinch/rehearsal/standins/worker.py
+++ b/heronwinch/rehearsal/standins/worker.py
@@ -4,6 +4,7 @@
 from math import inf
 
 from heronwinch.interface import SECOND
+from heronwinch.rehearsal.meter import Meter
 from heronwinch.rehearsal.models.worker import (
     BROKEN,
     DECLINED,
@@ -37,7 +38,7 @@
     ):  # fmt: skip
         super().__init__(clock, most, idle)
         self.model, self.kinds, self.reports, self.probes, self.fell = model, kinds, reports, probes, fell
-        self.meter = meter  # a Meter, where the fleet's costs are counted
+        self.meter = meter or Meter()
         self.exchanges = {}  # run -> its exchange
         self.later = []  # exchanges that came in a pause
         self.timer = None
@@ -61,12 +62,10 @@
         self.pump()
 
     def connected(self):
-        if self.meter is not None:
-            self.meter.connected(self.clock.now(), len(self.connections))
+        self.meter.connected(self.clock.now(), len(self.connections))
 
     def _probe(self, exchange):
-        if self.meter is not None:
-            self.meter.probed(self.clock.now())
+        self.meter.probed(self.clock.now())
         path = exchange.request.target
         if self.model.suffers("mute"):
             return
--- a/heronwinch/rehearsal/troubles.py
+++ b/heronwinch/rehearsal/troubles.py
@@ -34,7 +34,7 @@
             return [places[name] for name in named]
         among = sorted(places)
         if trouble.area:
-            among = [name for name in among if scripts.area_of(self.stage.script, name) == trouble.area]
+            among, _ = self._sides(among, trouble.area)
         count = min(len(among), trouble.count or max(1, round((trouble.share or 1.0) * len(among))))
         return [places[name] for name in sorted(random.sample(among, count), key=lambda n: int(n[1:]))]
 
@@ -219,34 +219,17 @@
     # ---- the network
 
     def _cut(self, trouble, random):
+        """Some workers from dispatchers, or an area from all others, both ways, each going on by itself."""
         stage = self.stage
         if trouble.area:
-            self._cut_off(trouble)
-            return
-        workers = self._targets(trouble, random, stage.workers, trouble.workers)
-        names = trouble.dispatchers or list(stage.dispatchers)
-        cut = stage.ground.cut([place.name for place in workers], names)
-        spells = [stage.ledgers.begin("cut off", place.name, stage.now()) for place in workers]
-
-        def end():
-            stage.ground.heal(cut)
-            for spell in spells:
-                spell.ends = stage.now() + SECOND
-
-        self._later(trouble.lasts, end)
-
-    def _cut_off(self, trouble):
-        """An area from all others, both ways: within each side all goes on."""
-        stage = self.stage
-
-        def split(places):
-            within = [n for n in places if scripts.area_of(stage.script, n) == trouble.area]
-            return within, [n for n in places if n not in set(within)]
-
-        workers, others = split(stage.workers)
-        dispatchers, elsewhere = split(stage.dispatchers)
-        cuts = [stage.ground.cut(workers, elsewhere), stage.ground.cut(others, dispatchers)]
-        spells = [stage.ledgers.begin("cut off", name, stage.now()) for name in stage.workers]
+            workers, others = self._sides(stage.workers, trouble.area)
+            dispatchers, elsewhere = self._sides(stage.dispatchers, trouble.area)
+            pairs = [(workers, elsewhere), (others, dispatchers)]
+        else:
+            struck = self._targets(trouble, random, stage.workers, trouble.workers)
+            pairs = [([place.name for place in struck], trouble.dispatchers or list(stage.dispatchers))]
+        cuts = [stage.ground.cut(*pair) for pair in pairs]
+        spells = [stage.ledgers.begin("cut off", name, stage.now()) for names, _ in pairs for name in names]
 
         def end():
             for cut in cuts:
@@ -256,6 +239,13 @@
 
         self._later(trouble.lasts, end)
 
+    def _sides(self, names, area):
+        """Those of the area, and the others."""
+        sides = [], []
+        for name in names:
+            sides[scripts.area_of(self.stage.script, name) != area].append(name)
+        return sides
+
     def _slow_net(self, trouble, random):
         ground = self.stage.ground
         ground.slower(trouble.factor)
@@ -276,7 +266,7 @@
     def _shift(self, trouble, random):
         """What a client meets is a dispatcher of that area, so often; for good where no end is told."""
         front = self.stage.front
-        here = [n for n in front.weights if scripts.area_of(self.stage.script, n) == trouble.area]
+        here, _ = self._sides(front.weights, trouble.area)
         whole = sum(front.weights.values())
         own = sum(front.weights[name] for name in here)
         before = dict(front.weights)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -449,6 +449,17 @@
 """
 
 
+QUOTES = """[[categories]]
+name = "quote"
+running = "200ms"
+expiry = "4s"
+late_credit = 0.3
+[[traffic]]
+category = "quote"
+rate = 150.0
+"""
+
+
 def trouble(what, at="1s", **words):
     rows = [f"{name} = {json.dumps(value)}" for name, value in {"at": at, "what": what, **words}.items()]
     return "\n".join(["[[troubles]]", *rows, ""])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import pytest
-from conftest import ROOT, SCRIPT, trouble
+from conftest import QUOTES, ROOT, SCRIPT, trouble
 
 from heronwinch.interface import SECOND
 from heronwinch.policy import Dispatcher
@@ -62,7 +62,7 @@
         assert {breach.rule for breach in play(script)[1]} == {"costs"}
 
 
-COLD = """
+COLD = f"""
 format = 1
 name = "cold"
 seconds = "4s"
@@ -75,15 +75,7 @@
 warm_up = "20s"
 [dispatchers]
 count = 12
-[[categories]]
-name = "quote"
-running = "200ms"
-expiry = "4s"
-late_credit = 0.3
-[[traffic]]
-category = "quote"
-rate = 150.0
-[[troubles]]
+{QUOTES}[[troubles]]
 at = "500ms"
 lasts = "1s"
 what = "crash"
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -8,7 +8,7 @@
 from random import Random
 
 import pytest
-from conftest import ROOT, SCRIPT, trouble
+from conftest import QUOTES, ROOT, SCRIPT, trouble
 
 import heronwinch
 from heronwinch.interface import SECOND, Effect
@@ -399,7 +399,7 @@
     assert json.loads(digests[0])["digest"] != json.loads(digests[2])["digest"]
 
 
-COLD = """
+COLD = f"""
 format = 1
 name = "cold"
 seconds = "8s"
@@ -409,15 +409,7 @@
 queue = 16
 cold_share = 0.08
 push_multiple = 2.0
-[[categories]]
-name = "quote"
-running = "200ms"
-expiry = "4s"
-late_credit = 0.3
-[[traffic]]
-category = "quote"
-rate = 150.0
-[[troubles]]
+{QUOTES}[[troubles]]
 at = "1s"
 lasts = "2s"
 what = "crash"
