A view of the fleet: members, rumours, suspicion, parts that never add up; off without a section

State machines in heronwinch/fleet (messages as msgspec structs, merge table, SWIM view with Lifeguard's health, the roll by which budgets are divided), driven over datagrams and streams by net/fleet.py; the module hears it as one event. Without the section fleet in the configuration none of it is imported and the terms hold as before.

--- /dev/null
+++ b/heronwinch/fleet/view.py
@@ -0,0 +1,472 @@
+"""One member's part in keeping the view: who is probed, suspected, told of, looked for. No I/O.
+
+The driver calls `start`, then `tick` whenever `due` has come and `heard` for each datagram, and afterwards
+sends what lies in `out` ((host, bytes) datagrams) and makes the exchanges in `exchanges` (hosts to swap whole
+views with, on a stream: `whole`, `met`). Times are whole nanoseconds of a clock that never steps.
+
+SWIM's probes and rumours (Das 2002), Lifeguard's local health and suspicion that confirmations shorten
+(Dadgar 2018); docs/design/view.md says what was kept, what was changed and by what figures.
+"""
+
+from collections import Counter
+from heapq import heappop, heappush
+from math import ceil, log
+from typing import NamedTuple
+
+from heronwinch.fleet.messages import (
+    GONE,
+    JOINING,
+    LEAVING,
+    LEFT,
+    MOST_WHOLE,
+    SERVING,
+    SUSPECT,
+    Ack,
+    Ask,
+    BadMessage,
+    Nack,
+    News,
+    Ping,
+    Row,
+    Whole,
+    decode,
+    encode,
+)
+from heronwinch.fleet.table import Table, key
+from heronwinch.interface import SECOND
+
+MS = SECOND // 1000
+SICKEST = 8  # of the local health: times and pauses are up to nine times as long
+ROOM = 1000  # bytes of rows that a datagram carries
+MOST_AT_ONCE = 4  # datagrams of news to one member in a round
+MOST_PROBES = 64  # out at a time
+MOST_RELAYED = 256  # of others' questions, in mind
+REMEMBERED = 120 * SECOND  # that a member which said that it left is not taken back by old news
+
+
+class Pace(NamedTuple):
+    """All times, in nanoseconds."""
+
+    period: int = 400 * MS  # from probe to probe
+    patience: int = 120 * MS  # with which an answer is awaited before it is asked again, and through others
+    helpers: int = 3  # who are asked to ask
+    short: int = 1200 * MS  # of a suspicion that others confirm
+    long: int = 3500 * MS  # of one that nobody confirms
+    confirmations: int = 2  # that make it as short as it gets
+    gossip: int = 200 * MS  # from news to news, while there are any
+    fan: int = 3  # to so many
+    exchange: int = 500 * MS  # between whole views asked for
+    seek: int = 150 * MS  # times the members: the pause between looking for who is missing
+    seek_least: int = SECOND
+    seek_most: int = 20 * SECOND
+    alone: int = 250 * MS  # the first pause of one that has found nobody
+    stall: int = 300 * MS  # a timer so late shows that this process stood still
+
+
+class Suspicion:
+    __slots__ = ("since", "by")
+
+    def __init__(self, since):
+        self.since = since
+        self.by = set()
+
+
+class Probe:
+    __slots__ = ("name", "began", "nacks")
+
+    def __init__(self, name, began):
+        self.name, self.began = name, began
+        self.nacks = 0
+
+
+class View:
+    def __init__(self, me: Row, fleet, seeds, random, pace=Pace()):  # noqa: B008 - immutable
+        self.table = Table(me)
+        self.fleet, self.seeds, self.random, self.pace = fleet, list(seeds), random, pace
+        self.out = []
+        self.exchanges = []
+        self.deaths = []  # rows that this member itself has called gone, for the driver to log
+        self.counts = Counter()
+        self.rate = 0.0  # own work items a second, told with every message
+        self.rates = {}  # of others, as they last said
+        self.timers = []
+        self.order = 0
+        self.health = 0  # 0 well
+        self.queue = {}  # name -> how often its row was told onward
+        self.suspects = {}  # name -> Suspicion
+        self.probes = {}  # seq -> Probe
+        self.relayed = {}  # own seq -> (host that asked, its seq)
+        self.ended = {}  # name -> since when it has left
+        self.turn = []  # who is still to be probed in this round
+        self.seq = 0
+        self.tries = 0  # in vain, while nobody was found
+        self.next_exchange = 0
+        self.hurries = False  # the last probe failed, and not for this one's own sake
+        self.stopped = False
+        self.changes = 0  # of the view, counted
+        self.former = {}  # name -> the row of its earlier life, to be told to the later one
+        self.heir_since = None  # since when it is known to follow an earlier life that does not speak up
+        self.heard_at = 0  # anything of others
+
+    # ---- the driver's calls
+
+    def start(self, now):
+        self._later(now + int(self.random.random() * self.pace.period), self._probe_next)
+        self._later(now + int(self.random.random() * self.pace.gossip), self._gossip)
+        self._later(now, self._seek)
+
+    @property
+    def due(self):
+        return self.timers[0][0]
+
+    def tick(self, now):
+        late = now - self.due
+        if late > self.pace.stall:
+            self._stood_still(late)
+        while self.timers and self.due <= now:
+            _, _, act, args = heappop(self.timers)
+            act(now, *args)
+
+    def serve(self, now):
+        if self.table.me.state == JOINING:
+            self._told(now, self.table.say(SERVING))
+
+    def leave(self, now):
+        """It goes on serving what it has."""
+        self._told(now, self.table.say(LEAVING))
+
+    def left(self, now):
+        """The last word: nothing is sent to any worker after it."""
+        self._told(now, self.table.say(LEFT))
+        self.stopped = True
+        for row in self._some(2 * self.pace.fan):
+            self._send(row.host, News(*self._head(), rows=[self.table.me]))
+
+    def heard(self, now, data):
+        """A datagram. Nothing that comes raises: what is no message is dropped and counted."""
+        self.counts["received"] += 1
+        self.counts["received_bytes"] += len(data)
+        try:
+            message = decode(data, self.fleet)
+        except BadMessage as fault:
+            self.counts[f"dropped_{fault}"] += 1
+            return
+        if message.own.name == self.table.me.name and message.own.life == self.table.me.life:
+            return  # its own, come back
+        self.rates[message.own.name] = message.rate
+        self._take_all(now, message)
+        kind = type(message)
+        if kind is Ping:
+            if message.to in ("", self.table.me.name) and not self.stopped and not self.table.yielded:
+                self._send(message.own.host, Ack(*self._head(message.seq), rows=self._rows(message.own)))
+            elif message.to != self.table.me.name:
+                self.counts["not_for_me"] += 1  # its address was another's before
+        elif kind is Ack:
+            self._acked(message)
+        elif kind is Ask:
+            self._ask_for(now, message)
+        elif kind is Nack:
+            probe = self.probes.get(message.seq)
+            if probe is not None:
+                probe.nacks += 1
+        if message.digest != self.table.digest and now >= self.next_exchange and message.own.host:
+            self.next_exchange = now + int(self.pace.exchange * (0.5 + self.random.random()))
+            self.exchanges.append(message.own.host)
+
+    def whole(self, now, asks=True):
+        rows = [self.table.me, *(row for row in self.table.rows.values() if row.name != self.table.me.name)]
+        return encode(Whole(*self._head(), asks, rows=rows))
+
+    def met(self, now, data):
+        """A whole view has come; what is to be sent back for it, or None."""
+        try:
+            message = decode(data, self.fleet, MOST_WHOLE)
+            if type(message) is not Whole:
+                raise BadMessage("garbage")
+        except BadMessage as fault:
+            self.counts[f"dropped_{fault}"] += 1
+            return None
+        self.counts["wholes"] += 1
+        if message.own.life == self.table.me.life:
+            return None
+        self._take_all(now, message)
+        return self.whole(now, asks=False) if message.asks else None
+
+    def forget(self, now, name):
+        """An operator's word that a missing member is dead for good; False where it is not missing."""
+        row = self.table.rows.get(name)
+        if row is None or row.state != GONE:
+            return False
+        self._told(now, self.table.doubt(name, LEFT, self.table.me.name))
+        return True
+
+    # ---- timers
+
+    def _later(self, when, act, *args):
+        self.order += 1
+        heappush(self.timers, (when, self.order, act, args))
+
+    def _stood_still(self, late):
+        """This process was held, or had no time: what it waited for may have come meanwhile and lies unread.
+        Guards against one that is let go and calls all others dead."""
+        self.counts["stalls"] += 1
+        self.probes.clear()
+        for suspicion in self.suspects.values():
+            suspicion.since += late
+        self.health = min(SICKEST, self.health + 1)
+
+    # ---- telling
+
+    def _head(self, seq=0):
+        return self.fleet, self.table.me, seq, self.table.digest, self.rate
+
+    def _send(self, host, message):
+        data = encode(message)
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(data)
+        self.out.append((host, data))
+
+    def _rows(self, hearer=None, room=ROOM):
+        """News for a datagram, what was told least often first; ahead of them what the hearer has to know of
+        itself: that it is thought gone."""
+        rows = []
+        if hearer is not None:
+            held = self.table.rows.get(hearer.name)
+            if held is not None and held.state >= SUSPECT:
+                rows.append(held)
+                room -= 64
+            if (former := self.former.pop(hearer.name, None)) is not None:
+                rows.append(former)
+                room -= 64
+        if not self.queue:
+            return rows
+        most = 3 * ceil(log(self.table.here + 2))
+        for name in sorted(self.queue, key=self.queue.get) if len(self.queue) > 1 else list(self.queue):
+            row = self.table.rows.get(name)
+            if row is None or self.queue[name] >= most:
+                del self.queue[name]
+                continue
+            room -= 28 + len(row.name) + len(row.host) + len(row.area) + len(row.by)
+            if room < 0:
+                break
+            self.queue[name] += 1
+            rows.append(row)
+        return rows
+
+    def _told(self, now, row):
+        """A row is new here."""
+        if row is None:
+            return
+        self.changes += 1
+        self.queue[row.name] = 0
+        if row.state == SUSPECT:
+            if row.name not in self.suspects:
+                self.suspects[row.name] = Suspicion(now)
+                # A few of those who hear of it look for themselves: their word shortens or ends it.
+                if row.by != self.table.me.name and self.random.random() * self.table.here < 4:
+                    self._probe(now, row)
+            self.suspects[row.name].by.add(row.by)
+        else:
+            self.suspects.pop(row.name, None)
+            if row.state >= GONE:
+                self.rates.pop(row.name, None)
+                self.former.pop(row.name, None)
+            if row.state == LEFT:
+                self.ended[row.name] = now
+
+    def _take_all(self, now, message):
+        sayer, self.heard_at = message.own, now
+        if sayer.name != self.table.me.name and sayer.state not in (SUSPECT, GONE):
+            old = self.table.rows.get(sayer.name)
+            if old is not None and old.life != sayer.life and old.state != LEFT and key(sayer) > key(old):
+                self.former[sayer.name] = old
+            self._told(now, self.table.merge(sayer))
+        deaf = self._is_gone(sayer.name)
+        for row in message.rows:
+            # Who is cut off from all calls all dead; its word counts again once it is back in the view.
+            # Guards against a one-way cut whose one victim keeps a fleet refuting.
+            if row.state in (SUSPECT, GONE) and row.name != self.table.me.name and (
+                    deaf or self._is_gone(row.by)):
+                continue
+            before = self.table.me
+            if row.name == before.name and row.life != before.life and row.state != LEFT and (
+                    self.heir_since is None or key(row) > key(before)):
+                self.heir_since = now
+            told = self.table.merge(row)
+            if told is not None:
+                if told is self.table.me and told is not before and row.life == before.life:
+                    self.health = min(SICKEST, self.health + 1)  # held to be gone: not so well oneself
+                self._told(now, told)
+            elif row.state == SUSPECT and row.name in self.suspects:
+                held = self.table.rows[row.name]
+                if held.inc == row.inc and held.life == row.life:
+                    self.suspects[row.name].by.add(row.by)
+
+    def _is_gone(self, name):
+        row = self.table.rows.get(name)
+        return row is not None and row.state == GONE
+
+    def _some(self, count, but=()):
+        """Random others that are here and not in doubt; only where there are none, of those in doubt."""
+        me = self.table.me.name
+        others = [row for row in self.table.present() if row.name != me and row.name not in but]
+        if self.suspects:
+            others = [row for row in others if row.state != SUSPECT] or others
+        return self.random.sample(others, min(count, len(others)))
+
+    def _gossip(self, now):
+        self._later(now + self.pace.gossip, self._gossip)
+        self._sweep(now)
+        if not self.queue or self.stopped:
+            return
+        for row in self._some(self.pace.fan):
+            for _ in range(MOST_AT_ONCE):
+                rows = self._rows()
+                if rows:
+                    self._send(row.host, News(*self._head(), rows=rows))
+                if len(self.queue) <= len(rows):
+                    break
+
+    # ---- probing
+
+    def _probe_next(self, now):
+        pause = self.pace.period * (1 + self.health)
+        if self.hurries and not self.health:
+            pause //= 4  # many may have died at once, and each probe finds one
+        self._later(now + int(pause * (0.9 + 0.2 * self.random.random())), self._probe_next)
+        if self.stopped or self.table.yielded:
+            return
+        while self.turn:
+            row = self.table.rows.get(self.turn.pop())
+            if row is not None and row.state < SUSPECT:
+                self._probe(now, row)
+                return
+        self.turn = [row.name for row in self.table.present() if row.name != self.table.me.name]
+        self.random.shuffle(self.turn)
+        if self.turn:
+            self._probe(now, self.table.rows[self.turn.pop()])
+
+    def _probe(self, now, row):
+        if len(self.probes) >= MOST_PROBES:
+            return
+        self.seq += 1
+        self.probes[self.seq] = Probe(row.name, now)
+        self._ping(row, self.seq)
+        wait = self.pace.patience * (1 + self.health)
+        self._later(now + wait, self._press, self.seq)
+        self._later(now + self.pace.period * (1 + self.health), self._unanswered, self.seq)
+
+    def _ping(self, row, seq):
+        self._send(row.host, Ping(*self._head(seq), row.name, rows=self._rows(row)))
+
+    def _press(self, now, seq):
+        probe = self.probes.get(seq)
+        if probe is None:
+            return
+        row = self.table.rows[probe.name]
+        self._ping(row, seq)
+        for helper in self._some(self.pace.helpers, (probe.name,)):
+            self._send(helper.host, Ask(*self._head(seq), row.name, row.host, rows=[]))
+
+    def _unanswered(self, now, seq):
+        probe = self.probes.pop(seq, None)
+        if probe is None:
+            return
+        # Not even those answered who were asked to help, and nobody else was heard: it is as likely this one
+        # that is not well. Where seven in ten died, helpers are silent too, but somebody is heard.
+        alone = not probe.nacks and self.heard_at < probe.began
+        self.hurries = not alone
+        if alone:
+            self.health = min(SICKEST, self.health + 1)
+        self.counts["unanswered"] += 1
+        name = probe.name
+        me = self.table.me.name
+        if name in self.suspects:
+            suspicion = self.suspects[name]
+            if me not in suspicion.by:
+                suspicion.by.add(me)
+                self.queue[name] = 0
+                self.table.rows[name] = _by(self.table.rows[name], me)
+        else:
+            self._told(now, self.table.doubt(name, SUSPECT, me))
+
+    def _acked(self, message):
+        if (asked := self.relayed.pop(message.seq, None)) is not None and message.seq not in self.probes:
+            host, seq = asked
+            self._send(host, Ack(*self._head(seq), rows=self._rows()))
+            return
+        probe = self.probes.pop(message.seq, None)
+        if probe is not None:
+            self.hurries = False
+            self.health = max(0, self.health - 1)
+            self.tries = 0
+
+    def _ask_for(self, now, message):
+        self.seq += 1
+        while len(self.relayed) >= MOST_RELAYED:
+            del self.relayed[next(iter(self.relayed))]
+        self.relayed[self.seq] = message.own.host, message.seq
+        held = self.table.rows.get(message.to)
+        rows = [held] if held is not None and held.state >= SUSPECT else []
+        self._send(message.host, Ping(*self._head(self.seq), message.to, rows=rows))
+        self._send(message.own.host, Nack(*self._head(message.seq)))
+
+    def _sweep(self, now):
+        """Suspicions that nobody has ended in time."""
+        pace = self.pace
+        enough = max(0, min(pace.confirmations, self.table.here - 2))
+        for name, suspicion in list(self.suspects.items()):
+            part = min(1.0, log(len(suspicion.by)) / log(enough + 1)) if enough and suspicion.by else 0.5
+            wait = pace.long - part * (pace.long - pace.short)
+            if now - suspicion.since >= wait * (1 + self.health / 2):
+                row = self.table.doubt(name, GONE, self.table.me.name)
+                if row is not None:
+                    self.counts["called_gone"] += 1
+                    self.deaths.append(row)
+                self._told(now, row)
+        if self.ended:
+            name, since = next(iter(self.ended.items()))
+            if now - since > REMEMBERED:
+                del self.ended[name]
+                if name in self.table.rows and self.table.rows[name].state == LEFT:
+                    self.table.forget(name)
+
+    # ---- looking for others
+
+    def _seek(self, now):
+        """Those who were lost, and whom the configuration names: a fleet that was split for however long
+        finds together. The pause grows with the members, so all of them together ask about as often."""
+        pace, here = self.pace, self.table.here
+        held = {row.host for row in self.table.present()}
+        wanted = [host for host in self.seeds if host not in held]
+        lost = [row for row in self.table.rows.values() if row.state == GONE and row.host not in held]
+        if here == 1:
+            self.tries += 1
+            pause = min(pace.alone * 1.5 ** min(self.tries, 20), pace.seek_most / 4)
+        else:
+            pause = min(max(pace.seek * here, pace.seek_least), pace.seek_most)
+        self._later(now + int(pause * (0.5 + self.random.random())), self._seek)
+        if self.stopped:
+            return
+        if wanted and (here == 1 or not lost or self.random.random() < 0.25):
+            for host in self.random.sample(wanted, min(len(wanted), 3 if here == 1 else 1)):
+                self._send(host, Ping(*self._head(), "", rows=[]))
+        elif lost:
+            row = self.random.choice(lost)
+            self._send(row.host, Ping(*self._head(), "", rows=[row]))
+
+    # ---- what is seen of it
+
+    def part(self):
+        """This one's part of the work, 0 to 1, by what members last said of their rates; those who have said
+        nothing yet count as the mean."""
+        others = self.table.here - 1
+        known = [self.rates[row.name] for row in self.table.present() if row.name in self.rates]
+        if others <= 0 or not known:
+            return 1.0 / max(1, self.table.here)
+        whole = self.rate + sum(known) / len(known) * others
+        return self.rate / whole if whole > 0 else 1.0 / self.table.here
+
+
+def _by(row, name):
+    return Row(row.name, row.state, row.inc, row.life, row.host, row.area, name, row.form)
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -234,6 +234,15 @@
     before: tuple[int, ...]
 
 
+class Fleet(NamedTuple):
+    """What dispatchers that talk to each other know of themselves. `divide` is by how many each divides what
+    all of them may do together, 0 while this one may do nothing of that."""
+
+    divide: int
+    serving: tuple[int, ...]  # how many serve, by area
+    part: float  # of all work that comes, this one's
+
+
 class Forgotten(NamedTuple):
     """A worker that is gone and will not be named again."""
 
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -59,6 +59,7 @@
         self.stop_at = None
         self.workers = None
         self.discovery = None
+        self.fleet = None  # the last news of other dispatchers, for a module that starts anew
         self.dispatcher = make(terms, self.random.getrandbits(64))
         self.carry_out = {
             it.HandOff: self._hand_off, it.Defer: self._answer, it.WriteOff: self._answer,
@@ -126,6 +127,8 @@
                 self._abandon(item)
                 self._drop(item)
         self.post(self.workers.listed())
+        if self.fleet is not None:
+            self.post(self.fleet)
 
     def _abandon(self, item):
         may_have_run = any(outcome not in it.NEVER_RAN for outcome in item.hos)
--- a/heronwinch/plan.py
+++ b/heronwinch/plan.py
@@ -21,6 +21,15 @@
     """The configuration cannot be used."""
 
 
+class FleetPlan(NamedTuple):
+    """Where dispatchers talk to each other (section `fleet`)."""
+
+    name: str  # of the fleet: what others say is dropped
+    listen: tuple[str, int]  # datagrams, and streams for whole views
+    told: str  # the address that others reach it under, where that is another one
+    members: tuple[str, ...]  # addresses to find the others by, in any order, dead ones among them
+
+
 class Plan(NamedTuple):
     path: str
     shape: frozenset[str]  # what the file's settings and limits name
@@ -35,6 +44,7 @@
     known: Listing
     terms: it.Terms
     names: Names
+    fleet: FleetPlan | None = None
 
 
 def read_file(path):
@@ -72,6 +82,7 @@
             known=as_listing(tree.get("known") or {"seq": 0, "whole": True, "hosts": []}),
             terms=read_terms(values),
             names=read_names(values),
+            fleet=_fleet(tree),
         )
         _check(tree)
         return plan
@@ -131,6 +142,40 @@
         raise PlanError(f"{name} is no address: {text!r}") from None
 
 
+FLEET_WORDS = ("name", "listen", "told", "members")
+
+
+def _fleet(tree):
+    """The section `fleet`, None where there is none."""
+    if "fleet" not in tree:
+        return None
+    section = tree["fleet"]
+    if not isinstance(section, dict):
+        raise PlanError(f"fleet is {section!r}; write an object with {', '.join(FLEET_WORDS)}")
+    limits = tree["settings"].get("limits")
+    if isinstance(limits, dict) and limits.get("peers") is False:
+        raise PlanError("fleet: settings.limits.peers is false, so dispatchers may not talk; take it out")
+    for word in section:
+        if word not in FLEET_WORDS:
+            raise PlanError(f"fleet.{word}: nothing is called so; there are {', '.join(FLEET_WORDS)}")
+    for word in ("name", "listen"):
+        if not isinstance(section.get(word), str) or not 0 < len(section[word]) <= 64:
+            raise PlanError(f"fleet.{word} is {section.get(word)!r}; write 1 to 64 characters")
+    if not 0 < len(str(tree.get("name", ""))) <= 64:
+        raise PlanError("fleet: name is missing or longer than 64 characters; members go by it")
+    members = section.get("members", [])
+    if not isinstance(members, list) or not all(isinstance(member, str) for member in members):
+        raise PlanError(f"fleet.members is {members!r}; write a list of addresses")
+    addresses = [_address(f"fleet.members[{i}]", member) for i, member in enumerate(members)]
+    listen = _address("fleet.listen", section["listen"])
+    told = _address("fleet.told", section["told"]) if "told" in section else listen
+    if not listen[1] or not told[1]:
+        raise PlanError("fleet.listen: a port is not 0, as others are told of it")
+    host, port = told
+    return FleetPlan(section["name"], listen, f"{host}:{port}",
+                     tuple(f"{host}:{port}" for host, port in addresses))
+
+
 def _descriptor(text):
     if not text:
         return None
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -21,6 +21,7 @@
     Defer,
     Effect,
     Evacuating,
+    Fleet,
     Forgotten,
     Group,
     HandOff,
@@ -178,6 +179,8 @@
 class Dispatcher:
     def __init__(self, terms, seed):
         self.terms = terms
+        self.fleet = None  # what dispatchers know of each other, where they may talk
+        self._parts()
         self.random = Random(seed)
         self.rows = [Row(category) for category in terms.categories]
         self.workers = {}  # every worker ever listed
@@ -220,6 +223,7 @@
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
             Stopping: self._stopping, Forgotten: self._forgotten,
             Changed: self._changed, Evacuating: self._evacuating, Resumed: self._resumed,
+            Fleet: self._fleet,
         }
 
     def handle(self, now, events):
@@ -275,7 +279,7 @@
         """Turned away so far, with one hand-off left, which goes where room was just shown. Guards against
         all spent within five milliseconds, and a deferral with all of the time left."""
         return (len(wi.hos) == self.terms.most_hand_offs - 1 > 0 and self.terms.may_probe
-                and self.terms.dispatchers > 1 and not self.terms.live_weights and not self.doubt)
+                and self.several and not self.terms.live_weights and not self.doubt)
 
     def _shows(self, worker, slots):
         """Whether a report of this moment says that it has so many free."""
@@ -289,7 +293,7 @@
 
     def _alone(self):
         """Whether own record is all there is to know, or asking is of no use."""
-        return not self.terms.may_probe or self.terms.dispatchers == 1 or self.doubt
+        return not self.terms.may_probe or not self.several or self.doubt
 
     def _known(self, worker):
         """With others sending too, a worker is asked for its busy alert before it counts as open."""
@@ -604,12 +608,31 @@
         if len(event.terms.accounts) != len(self.purses):
             self.purses = [(PURSE, 0) for _ in event.terms.accounts]
         self.terms = event.terms
+        self._parts()
         old, self.rows = self.rows, [Row(category) for category in event.terms.categories]
         for row, before in zip(self.rows, event.before, strict=True):
             if before >= 0:
                 row.run, row.likely, row.seen = old[before].run, old[before].likely, old[before].seen
         self.bound = {row.kind for row in self.rows}
 
+    def _fleet(self, event):
+        self.fleet = event
+        self._parts()
+
+    def _parts(self):
+        """Among how many dispatchers work and what they may do is shared: the terms' number, or their own
+        view where they keep one. It may be wrong either way: what must not add up goes by `divide` alone,
+        which shrinks only where that is safe; what comes here, and its part of slots and shares, by `among`.
+        """
+        number = max(1, self.terms.dispatchers)
+        self.divide, self.among, self.crowd = number, number, 1.0
+        if self.fleet is not None:
+            self.divide = self.fleet.divide
+            if 0 < self.fleet.part <= 1:
+                self.among = 1 / self.fleet.part
+            self.crowd = max(1.0, sum(self.fleet.serving) / number)
+        self.several = self.divide != 1
+
     def _noted(self, event):
         wi = self.items.get(event.wi)
         if wi is not None and event.ho < len(wi.hos):
@@ -683,7 +706,7 @@
         self.asking_again = True
         self.refusals += 1
         longest = self.terms.ask_every / 4
-        pause = min(longest, self.terms.connect_timeout * 2 ** min(self.refusals, 16))
+        pause = min(longest, self.terms.connect_timeout * self.crowd * 2 ** min(self.refusals, 16))
         self.actions.append(SetTimer(int(pause * (0.5 + self.random.random())), ASK_AGAIN))
 
     # ---- openness
@@ -693,7 +716,7 @@
         its part of the allowance in a purse. A purse of less than a few work items would hold back accounts
         that keep to their share, as what comes here comes unevenly."""
         terms = self.terms
-        rate = terms.accounts[account].allowance / terms.dispatchers / SECOND
+        rate = terms.accounts[account].allowance / self.among / SECOND
         left, when = self.purses[account]
         left = min(PURSE, left + rate * (self.now - when))
         self.purses[account] = left - (left >= 1), self.now
@@ -769,7 +792,7 @@
         here = tried or here and (wi.row.kind >= 0 or worker.kind not in self.bound)
         # Past its due time it yields to other dispatchers: they may have work in time for the last slot, and
         # only where slots are short is there none besides. Alone, what waits is served in order anyway.
-        spare = self.now > wi.due and worker.slots > wi.slots and self.terms.dispatchers > 1
+        spare = self.now > wi.due and worker.slots > wi.slots and self.several
         slots = self._open_slots(worker, wi.slots + spare)
         if slots <= 0 or not self._allowed(worker, wi):
             return -1, 0
@@ -813,7 +836,7 @@
             return 0
         if worker.free is None or not self._is_fresh(worker):
             # Blind to what others send, this dispatcher counts on its part of the slots alone.
-            part = max(1, slots / self.terms.dispatchers)
+            part = max(1, slots / self.among)
             return slots * (1 - taken / part) if taken < part else min(own, MOST / (1 + taken))
         free = worker.free - worker.since - len(worker.askers)
         if free >= max(asked, slots / 4) and worker.waiting < 1:
@@ -913,11 +936,13 @@
             return False  # passed over by chance, less often as it warms
         if full and not self._known(worker):
             return True  # to be asked
+        if not self.divide:
+            return False  # others may have shared it all out already
         pushed = worker.pushed
         while pushed and pushed[0][0] <= self.now - terms.push_window:
             pushed.popleft()
         budget = terms.push_multiple * part * self._least_slots(worker) * terms.push_window
-        budget /= terms.dispatchers
+        budget /= self.divide
         if work <= budget:
             return sum(work for _, work in pushed) + work <= budget
         # With many dispatchers one's part of the budget admits no work item, and cold workers would stay
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -31,6 +31,7 @@
 LAST_IDLE = 0.5  # seconds from that call in which connections may stand idle
 LOOK = 0.05  # seconds between two looks for the other process
 SWEEP = 0.5  # seconds between two looks at idle connections
+FLEET_SOCKETS = 16  # descriptors kept for talk with other dispatchers, as net/fleet.py bounds them
 SUM_UP = 10.0  # seconds between two lines on what went wrong
 
 
@@ -66,6 +67,14 @@
             self.workers.records = True
         self.operators = Operators(self._call, machine, self.watch)
         self.calls = {"readyz": self._readyz, "evacuate": self._evacuate, "activate": self._activate}
+        self.fleet = None
+        if plan.fleet is not None:
+            try:
+                from heronwinch.net.fleet import Fleet
+            except ModuleNotFoundError as fault:
+                raise Unlistenable(f"fleet: {fault.name} is missing; pip install .") from None
+            self.fleet = Fleet(plan, machine, self.engine, self.watch)
+            self.calls |= {"view": lambda: (True, self.fleet.status())}
         self.serving = False
         self.closing_idle = None  # while clients are sent away
         self.stop = asyncio.Event()
@@ -81,6 +90,7 @@
     def _budget(self, plan):
         sockets = min(plan.sockets, self.machine.descriptors())
         share = 1 + self.overlaps
+        sockets -= FLEET_SOCKETS * (plan.fleet is not None)
         return Budget(sockets // share, plan.memory_mb // share)
 
     async def run(self):
@@ -96,6 +106,12 @@
         self.engine.post(self.workers.list(it.ListKind.CACHED, plan.known))
         if plan.terms.pushed_list:
             self.discovery.subscribe(True)
+        if self.fleet is not None:
+            if self.overlaps:
+                self.fleet.doubles = 2
+                self.fleet.open_later()
+            else:
+                await _opened(plan.fleet.listen, self.fleet.open(False))
         if self.overlaps:
             await self._ripen()
         if self.presence is not None and not self.taking.open():
@@ -135,6 +151,8 @@
     def _overlap(self, on):
         """The other process has come or gone: limits hold for both together."""
         self.overlaps = on
+        if self.fleet is not None:
+            self.fleet.doubles = 1 + on
         self.listener.budget = budget = self._budget(self.plan)
         self.workers.most = budget.workers
         self.engine.change(self._terms(self.plan), self.plan.names)
@@ -142,6 +160,8 @@
     # ---- operators' calls
 
     def _call(self, call):
+        if self.fleet is not None and call.startswith("forget "):
+            return self.fleet.forget(call.removeprefix("forget ").strip())
         if call not in self.calls:
             raise BadCall(f"no such call; there are {', '.join(self.calls)}")
         yes, text = self.calls[call]()
@@ -223,6 +243,8 @@
             # time is left for what still comes on them.
             self.listener.stop_accepting()
             self._overlap(True)
+            if self.fleet is not None:
+                self.fleet.close(leaving=False)
             self.taking.close()
             passes = await self.passing.meet()
             self.listener.keep(passes)
@@ -231,6 +253,8 @@
             # Another dispatcher may be down just then, and clients have nowhere to go but here; later what
             # cannot end in time goes elsewhere at once. Where there is no other, all the time counts.
             self.listener.ready = False
+            if self.fleet is not None:
+                self.fleet.leave()
             keep = seconds * KEPT if self.plan.terms.dispatchers > 1 else seconds - LAST_WORDS
             come = NEW_CONNECTIONS
         if passes:
@@ -254,6 +278,8 @@
         if passes:
             self.passing.close()
             log.info("passed_on", connections=self.passing.passed)
+        if self.fleet is not None and not self.fleet.closed:
+            self.fleet.close()
         self.operators.close()
         self.discovery.close()
         self.workers.close()
--- a/heronwinch/rehearsal/ground/network.py
+++ b/heronwinch/rehearsal/ground/network.py
@@ -6,6 +6,7 @@
 through or the connection is reset, by chance.
 """
 
+import asyncio
 import errno
 from collections import deque
 
@@ -14,6 +15,7 @@
 
 WINDOW = 128 * 1024  # bytes under way or unread that a connection holds in each direction
 RETRIES = (1.0, 3.0, 7.0, 15.0)  # seconds after which a lost request for a connection is sent again
+BUFFERED = 256  # datagrams that a socket holds unread
 ACCEPT_AGAIN = 1.0  # seconds without accepting after descriptors ran out, as asyncio does
 
 
@@ -224,6 +226,67 @@
         self._look()
 
 
+class Datagrams(asyncio.DatagramTransport):
+    """A datagram socket of a process; what comes while it does not read is kept up to the system's buffer."""
+
+    def __init__(self, network, process, address, protocol):
+        super().__init__()
+        self.network, self.process, self.address, self.protocol = network, process, address, protocol
+        self.inbox = deque()
+        self.queued = self.closed = False
+        network.datagrams[address] = self
+        process.listeners[self] = None
+        process.open += 1
+        process.call_soon(protocol.connection_made, self)
+
+    def sendto(self, data, address=None):
+        if not self.closed:
+            self.network.throw(self, bytes(data), address)
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def is_closing(self):
+        return self.closed
+
+    def come(self, data, address):
+        if len(self.inbox) < BUFFERED:
+            self.inbox.append((data, address))
+            self._look()
+
+    def _look(self):
+        if not self.queued and not self.closed:
+            self.queued = True
+            self.process.call_soon(self._read)
+
+    def _read(self):
+        """One a turn, as asyncio does."""
+        self.queued = False
+        if self.inbox and not self.closed:
+            data, address = self.inbox.popleft()
+            self.protocol.datagram_received(data, address)
+            if self.inbox:
+                self._look()
+
+    def close(self):
+        if not self.closed:
+            self.die(True)
+            self.process.open -= 1
+            self.process.call_soon(self.protocol.connection_lost, None)
+
+    def die(self, quietly):
+        self.closed = True
+        self.network.datagrams.pop(self.address, None)
+        self.process.listeners.pop(self, None)
+
+
+class Rough:
+    """What datagrams suffer on all paths."""
+
+    def __init__(self, loss=0.0, twice=0.0, late=0):
+        self.loss, self.twice, self.late = loss, twice, late
+
+
 class Server:
     """What create_server gives."""
 
@@ -248,6 +311,9 @@
         self.delay, self.jitter, self.window = delay, jitter, window
         self.slow = {}  # ip -> factor on the delay
         self.listeners = {}  # (ip, port) -> Listener
+        self.datagrams = {}  # (ip, port) -> Datagrams
+        self.rough = []  # what datagrams suffer just now
+        self.ways = []  # (ips, ips): nothing passes from the first to the second
         self.count = 0
         self.cuts = []  # (ips, ips): nothing passes between these
         self.vanished = set()  # ips of machines that say nothing
@@ -266,6 +332,8 @@
     def passes(self, one, other):
         if one in self.vanished or other in self.vanished:
             return False
+        if self.ways and any(one in some and other in others for some, others in self.ways):
+            return False
         return not any((one in a and other in b) or (one in b and other in a) for a, b in self.cuts)
 
     def cut(self, some, others):
@@ -277,6 +345,35 @@
         self.cuts.remove(cut)
         self._through()
 
+    def bar(self, some, others):
+        """Nothing passes from the one to the other; the way back is open."""
+        way = frozenset(some), frozenset(others)
+        self.ways.append(way)
+        return way
+
+    def unbar(self, way):
+        self.ways.remove(way)
+        self._through()
+
+    def throw(self, sender, data, address):
+        """A datagram on its way, or on two, or on none."""
+        one, other = sender.address[0], address[0]
+        self.kernel.note(0, data)
+        self.sent += len(data)
+        times, late = 1, 0
+        for rough in self.rough:
+            times += self.chance.random() < rough.twice
+            times *= self.chance.random() >= rough.loss
+            late += rough.late
+        for _ in range(times):
+            wait = self.latency(one, other) + int(late * self.chance.random())
+            self.kernel.after(wait, self._land, sender.address, address, data)
+
+    def _land(self, source, address, data):
+        socket = self.datagrams.get(address)
+        if socket is not None and self.passes(source[0], address[0]):
+            socket.come(data, source)
+
     def vanish(self, ip):
         self.vanished.add(ip)
 
@@ -300,7 +397,7 @@
     def carry(self, end, what, data):
         self.kernel.note(end.number, data or what.encode())
         self.sent += len(data)
-        if (self.cuts or self.vanished or end.held) and (
+        if (self.cuts or self.ways or self.vanished or end.held) and (
             end.held or not self.passes(end.address[0], end.peer.address[0])
         ):
             end.held.append((what, data))
@@ -314,7 +411,7 @@
 
     def _arrive(self, end, what, data):
         """A path that was cut meanwhile swallows what was under way too."""
-        if (self.cuts or self.vanished) and not self.passes(end.address[0], end.peer.address[0]):
+        if (self.cuts or self.ways or self.vanished) and not self.passes(end.address[0], end.peer.address[0]):
             if end.purged and what != "rst":
                 return
             end.held.append((what, data))
@@ -414,6 +511,6 @@
             if not done.done():
                 done.set_result(None) if fault is None else done.set_exception(fault)
 
-        if fault is None and not self.passes(end.address[0], end.peer.address[0]):
+        if fault is None and not self.passes(end.peer.address[0], end.address[0]):
             return  # the answer is lost: it never comes up
         self.kernel.within(end.process, settle)
--- a/heronwinch/rehearsal/ground/process.py
+++ b/heronwinch/rehearsal/ground/process.py
@@ -3,12 +3,14 @@
 
 import asyncio
 import contextlib
+import errno
 from collections import deque
 
 from heronwinch.interface import SECOND
 from heronwinch.rehearsal.ground.files import Files
 from heronwinch.rehearsal.ground.guard import Unseeded
 from heronwinch.rehearsal.ground.kernel import EPOCH
+from heronwinch.rehearsal.ground.network import Datagrams
 
 MOST_FAULTS = 100  # kept of what went astray in a process
 
@@ -188,6 +190,12 @@
     async def create_connection(self, protocol_factory, host=None, port=None, **_):
         return await self.network.connect(self, protocol_factory, (host, port))
 
+    async def create_datagram_endpoint(self, protocol_factory, local_addr=None, **_):
+        if tuple(local_addr) in self.network.datagrams:
+            raise OSError(errno.EADDRINUSE, f"address already in use: {local_addr}")
+        protocol = protocol_factory()
+        return Datagrams(self.network, self, tuple(local_addr), protocol), protocol
+
     async def create_server(self, protocol_factory, host=None, port=None, *, sock=None, backlog=100, **_):
         if sock is None:
             sock = self.network.listening(self, host or self.ip, port)
