--- a/heronwinch/fleet/view.py
+++ b/heronwinch/fleet/view.py
@@ -36,7 +36,7 @@
 from heronwinch.interface import SECOND
 
 MS = SECOND // 1000
-SICKEST = 8  # of the local health: times and pauses are up to nine times as long
+SICKEST = 4  # of the local health: times and pauses are up to five times as long
 ROOM = 1000  # bytes of rows that a datagram carries
 MOST_AT_ONCE = 4  # datagrams of news to one member in a round
 LONGEST_TRIP = 5 * SECOND  # that an answer is held to take
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -1,5 +1,5 @@
-"""Views on the whole program: several real processes of it with faults between them, and the same scripts on the
-virtual ground; what a configuration may say of it, and that without it nothing of it is there."""
+"""Views on the whole program: several real processes of it with faults between them, and the same scripts on
+the virtual ground; what a configuration may say of it, and that without it nothing of it is there."""
 
 import json
 import os
@@ -26,24 +26,33 @@
 SCRIPTS = ("partition", "join", "crash", "holds", "loss", "oneway")
 VIEWED = SCRIPT.replace("[fleet]", "[dispatchers]\ncount = 6\nview = true\n[fleet]\nareas = [\"n\", \"s\"]")
 TROUBLES = {
-    "halves": trouble("part", at="1s", lasts="6s", share=0.5),
-    "one way": trouble("part", at="1s", lasts="5s", dispatchers=["d4"], way="in"),
-    "held": trouble("hold", at="1s", lasts="1s", count=3) + trouble("hold", at="3s", lasts="4s", count=1),
-    "killed": trouble("kill", at="1s", lasts="5s", share=0.7),
-    "restarted": trouble("stop", at="500ms", lasts="4s", share=0.5, waves=3, every="500ms"),
-    "lost": trouble("loss", at="500ms", lasts="6s", share=0.3, twice=0.2, by="50ms"),
+    "cuts": (19, trouble("part", at="500ms", lasts="5s", share=0.5) + trouble(
+        "part", at="10s", lasts="4s", dispatchers=["d4"], way="in")),
+    "held and killed": (19, trouble("hold", at="500ms", lasts="800ms", count=3) + trouble(
+        "hold", at="3s", lasts="4s", count=1) + trouble("kill", at="10s", lasts="5s", share=0.7)),
+    "restarted, lost": (15, trouble(
+        "stop", at="500ms", lasts="4s", share=0.5, waves=3, every="500ms") + trouble(
+            "loss", at="7s", lasts="4s", share=0.3, twice=0.2, by="50ms")),
 }
 
 
+def viewed(what):
+    seconds, troubles = TROUBLES[what]
+    return parse(VIEWED.replace('"6s"', f'"{seconds}s"') + troubles)
+
+
 def judged(stage, script):
     return account(script, 1, "module", stage.ledgers)
 
 
-def check(tree, breaches, seconds):
+def check(tree, breaches, seconds, timed=True):
     """All rules kept, and once each trouble was over all views came to be the same again."""
     assert not breaches, breaches[:3]
     views = tree["views"]
-    assert views["live_called_gone"] == 0 and 0 < views["most_shared"] <= 1 + 1e-6
+    assert 0 < views["most_shared"] <= 1 + 1e-6
+    if not timed:
+        return
+    assert views["live_called_gone"] == 0
     ends = [row for row in views["settled"] if row["phase"] == "ends"]
     assert ends and all(row["settled_s"] is not None for row in ends[-1:]), views["settled"]
     assert ends[-1]["settled_s"] < seconds
@@ -52,17 +61,16 @@
 @pytest.mark.parametrize("what", TROUBLES)
 @pytest.mark.xdist_group("rig")
 def test_real_processes_settle_again(what):
-    script = parse(VIEWED.replace('"6s"', '"14s"') + TROUBLES[what])
+    script = viewed(what)
     stage = loopback.play(script, 1)
     tree, breaches, _ = judged(stage, script)
-    if stage.rig.lags:
-        pytest.skip(f"this machine stood still for {stage.rig.lag:.2f} s")
-    check(tree, breaches, 10)
+    # Where the machine itself stood still, only the rules of work are the program's to keep.
+    check(tree, breaches, 10, timed=not stage.rig.lags)
 
 
 @pytest.mark.parametrize("what", TROUBLES)
 def test_the_same_on_the_virtual_ground(what):
-    script = parse(VIEWED.replace('"6s"', '"14s"') + TROUBLES[what])
+    script = viewed(what)
     stage, _ = rehearse(script, 1, Dispatcher)
     tree, breaches, _ = judged(stage, script)
     check(tree, breaches, 6)
@@ -266,7 +274,7 @@
                 assert (await stage.call(b"forget other\n")).startswith("-ERR other is not missing")
                 process.kill()
                 await process.wait()
-                while " gone 1 missing other " not in await stage.call(b"view\n"):
+                while " gone 1 left 0 missing other " not in await stage.call(b"view\n"):
                     await asyncio.sleep(0.1)
             assert (await stage.call(b"forget other\n")) == "+OK forgot other\n"
             assert " left 1 missing - " in await stage.call(b"view\n")
