--- a/heronwinch/cli.py
+++ b/heronwinch/cli.py
@@ -202,14 +202,19 @@
 @click.argument("script")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "path", metavar="FILE", help="Write the figures and breaches there.")
+@click.option(
+    "--size", type=click.FloatRange(0, 1, min_open=True), default=1.0, show_default=True,
+    help="Play a twin at this part of its size.",
+)  # fmt: skip
 @click.option("--serve", "only", is_flag=True, help="Workers and discovery alone, until interrupted.")
 @click.option("--port", type=int, default=7080, show_default=True, help="Of discovery, with --serve.")
-def emulate(script, seed, path, only, port):
+def emulate(script, seed, path, size, only, port):
     """Play SCRIPT on loopback sockets in real time, with real dispatcher processes."""
     from heronwinch.rehearsal.account import account
     from heronwinch.rehearsal.loopback import Unplayable, play, serve_fleet
+    from heronwinch.rehearsal.script import twin
 
-    told = read(script)
+    told = twin(read(script), size)
     try:
         if only:
             serve_fleet(told, seed, port, lambda line: click.echo(line))
@@ -365,13 +370,26 @@
 
 
 @main.command()
-@click.argument("what", type=click.Choice(["view"]))
+@click.argument("what", type=click.Choice(["view", "messages"]))
 @click.option("--plant", help="Plant a fault in the rules, to see that it is found.")
-def check(what, plant):
+@click.option("--runs", type=click.IntRange(1, 100_000_000), default=100_000, show_default=True,
+              help="Of messages.")
+def check(what, plant, runs):
     """Explore every course of what dispatchers' views rest on, within bounds, for two and three members.
 
-    Exit status 1 with the shortest course where something is wrong.
+    Exit status 1 with the shortest course where something is wrong. `messages`: so many spoilt ones instead.
     """
+    if what == "messages":
+        from heronwinch.rehearsal.mutants import play
+
+        try:
+            told = play(runs)
+        except Exception as fault:
+            click.echo(f"wrong: {type(fault).__name__}: {fault}")
+            sys.exit(BROKEN)
+        click.echo("  ".join(f"{name} {count}" for name, count in told.items()))
+        click.echo("nothing was raised, no bound passed")
+        return
     from heronwinch.rehearsal.check import PLANTS
     from heronwinch.rehearsal.check import check as explored
 
@@ -389,8 +407,19 @@
 
 @main.command()
 @click.option("--json", "path", metavar="FILE", help="Write the rows there.")
-def measure(path):
+@click.option("--views", metavar="N,N,..", help="Views of so many members instead, beside heartbeats.")
+@click.option("--seeds", type=click.IntRange(1, 1000), default=5, show_default=True, help="With --views.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=8, show_default=True, help="With --views.")
+def measure(path, views, seeds, jobs):
     """Print how fast rehearsals run here, and how that grows with workers and dispatchers."""
+    if views:
+        from heronwinch.rehearsal.compare_views import table
+
+        if not all(word.isdecimal() and 2 <= int(word) <= 1000 for word in views.split(",")):
+            raise Bad(f"--views: {views} is no list of sizes; write 2 to 1000, as 5,20,50")
+        for line in table(tuple(map(int, views.split(","))), seeds, jobs):
+            click.echo(line)
+        return
     from heronwinch.rehearsal.measure import as_table, machine, speed
 
     rows = speed()
--- a/heronwinch/net/fleet.py
+++ b/heronwinch/net/fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections import Counter
+from ipaddress import ip_address
 from random import Random
 
 import structlog
@@ -289,8 +290,9 @@
 
 
 def _address(host):
+    """ValueError where it is no number: a name that another tells would be looked up, the loop waiting."""
     name, _, port = host.rpartition(":")
-    return name, int(port)
+    return str(ip_address(name.strip("[]"))), int(port)
 
 
 async def _write(writer, data):
--- a/heronwinch/plan.py
+++ b/heronwinch/plan.py
@@ -171,6 +171,13 @@
     told = _address("fleet.told", section["told"]) if "told" in section else listen
     if not listen[1] or not told[1]:
         raise PlanError("fleet.listen: a port is not 0, as others are told of it")
+    from ipaddress import ip_address  # not loaded where there is no section
+
+    for host, _ in (listen, told, *addresses):
+        try:
+            ip_address(host)
+        except ValueError:
+            raise PlanError(f"fleet: {host} is a name; write the number of its address") from None
     host, port = told
     return FleetPlan(section["name"], listen, f"{host}:{port}",
                      tuple(f"{host}:{port}" for host, port in addresses))
--- a/heronwinch/rehearsal/members.py
+++ b/heronwinch/rehearsal/members.py
@@ -19,7 +19,7 @@
         random = band.kernel.random("member", name, host, band.count)
         band.count += 1
         me = Row(name, JOINING, born, random.getrandbits(62), host, band.area(name))
-        self.view = View(me, FLEET, seeds, random, band.pace)
+        self.view = band.make(me, FLEET, seeds, random, band.pace)
         self.parts = Parts(not seeds)
         self.alive, self.held, self.slow = True, False, 1
         self.looked, self.look_at = -1, 0
@@ -90,11 +90,11 @@
     """A fleet of members."""
 
     def __init__(self, count, seed=1, areas=("a",), loss=0.0, twice=0.0, delay=300_000, jitter=300_000,
-                 seeds=3, pace=Pace()):  # noqa: B008 - immutable
+                 seeds=3, pace=Pace(), make=View):  # noqa: B008 - immutable
         self.kernel = Kernel(seed)
         self.chance = self.kernel.random("paths")
         self.areas, self.loss, self.twice, self.delay, self.jitter = areas, loss, twice, delay, jitter
-        self.pace = pace
+        self.pace, self.make = pace, make
         self.count = 0
         self.size, self.seeds = count, seeds
         self.cuts = []  # (names, names): nothing passes from the one to the other
--- a/heronwinch/rehearsal/script.py
+++ b/heronwinch/rehearsal/script.py
@@ -81,6 +81,7 @@
     connect_timeout: Span = Span(250_000_000)
     may_cancel: bool = True
     come_back: bool = True
+    told: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 0  # how many their settings say there are; 0: true
     view: bool = False  # whether they keep a view of each other
     seeds: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 3  # how many each is told of, to find the others by
     notice: Span = Span(2 * SECOND)  # after which the front knows that one has died
@@ -556,7 +557,7 @@
     groups = {"all": "all", "area": "zone", "pod": "cell"}
     return {
         "me": i,
-        "siblings": own.count,
+        "siblings": own.told or own.count,
         "tick_ns": int(own.tick),
         "areas": fleet.areas,
         "realms": [],
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -132,6 +132,15 @@
     return self.count
 
 
+@pytest.mark.parametrize("host", ["elsewhere.example:7", "10.0.0.1", ":7", "10.0.0.1:x", ""])
+def test_an_address_that_is_told_is_never_looked_up(host):
+    from heronwinch.net.fleet import _address
+
+    assert _address("10.0.0.1:7") == ("10.0.0.1", 7)
+    with pytest.raises(ValueError):
+        _address(host)
+
+
 # ---- the module is told
 
 
@@ -198,6 +207,7 @@
     ({**FLEET, "name": "x" * 65}, "write 1 to 64 characters"),
     ({**FLEET, "listen": "nowhere"}, "fleet.listen is no address: 'nowhere'"),
     ({**FLEET, "members": "127.0.0.1:1"}, "fleet.members is '127.0.0.1:1'; write a list of addresses"),
+    ({**FLEET, "members": ["elsewhere:7"]}, "fleet: elsewhere is a name; write the number of its address"),
     ({**FLEET, "members": ["x"]}, "fleet.members[0] is no address: 'x'"),
 ])
 def test_a_bad_section_is_one_line(tmp_path, section, says):
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -15,7 +15,7 @@
 from heronwinch.fleet.table import Table
 from heronwinch.fleet.view import View
 from heronwinch.interface import SECOND
-from heronwinch.rehearsal import check
+from heronwinch.rehearsal import check, mutants
 from heronwinch.rehearsal.members import FLEET, Band
 
 
@@ -148,6 +148,11 @@
     assert view.table.rows["z"] == view.table.me and view.table.me.state == SERVING
 
 
+def test_spoilt_messages_do_no_harm():
+    told = mutants.play(3000)
+    assert told["dropped_garbage"] > 500 and told["dropped_foreign"] > 100
+
+
 # ---- what becomes of it; simulated
 
 
