--- a/heronwinch/cli.py
+++ b/heronwinch/cli.py
@@ -408,16 +408,21 @@
 @main.command()
 @click.option("--json", "path", metavar="FILE", help="Write the rows there.")
 @click.option("--views", metavar="N,N,..", help="Views of so many members instead, beside heartbeats.")
+@click.option("--kinds", metavar="K,K,..", default="view,all-to-all,gossiped", show_default=True,
+              help="With --views.")
 @click.option("--seeds", type=click.IntRange(1, 1000), default=5, show_default=True, help="With --views.")
 @click.option("--jobs", type=click.IntRange(1, 256), default=8, show_default=True, help="With --views.")
-def measure(path, views, seeds, jobs):
+def measure(path, views, kinds, seeds, jobs):
     """Print how fast rehearsals run here, and how that grows with workers and dispatchers."""
     if views:
-        from heronwinch.rehearsal.compare_views import table
+        from heronwinch.rehearsal.compare_views import ALL, table
 
+        for kind in kinds.split(","):
+            if kind not in ALL:
+                raise Bad(f"--kinds: there is no {kind}; there are {', '.join(ALL)}")
         if not all(word.isdecimal() and 2 <= int(word) <= 1000 for word in views.split(",")):
             raise Bad(f"--views: {views} is no list of sizes; write 2 to 1000, as 5,20,50")
-        for line in table(tuple(map(int, views.split(","))), seeds, jobs):
+        for line in table(tuple(map(int, views.split(","))), seeds, jobs, kinds.split(",")):
             click.echo(line)
         return
     from heronwinch.rehearsal.measure import as_table, machine, speed
--- a/heronwinch/rehearsal/heartbeats.py
+++ b/heronwinch/rehearsal/heartbeats.py
@@ -6,10 +6,11 @@
 
 from heronwinch.fleet.messages import GONE, SERVING, BadMessage, News, decode, encode
 from heronwinch.fleet.table import Table
-from heronwinch.fleet.view import Pace
+from heronwinch.fleet.view import MS, Pace
 from heronwinch.interface import SECOND
 
 ROWS = 16  # to a datagram
+INTRODUCED = 2  # members that are named to another with a heartbeat, or new ones would be known to few
 SILENT = 4  # periods without a heartbeat: gone
 PHI = 8.0  # beyond it: gone
 KEPT = 50  # gaps between heartbeats in mind
@@ -20,6 +21,7 @@
     """Tells all of itself each period; who is silent for four periods is gone."""
 
     heir_since = None
+    hearsay = False  # whether a heartbeat counts that another tells
 
     def __init__(self, me, fleet, seeds, random, pace=Pace()):  # noqa: B008 - immutable
         self.table = Table(me)
@@ -33,7 +35,7 @@
         self.due = now + int(self.random.random() * self.pace.period)
 
     def serve(self, now):
-        self.table.say(SERVING)
+        self.table.say(SERVING, now // MS)  # its next life begins beyond what this one counts up to
 
     def tick(self, now):
         self.due = now + int(self.pace.period * (0.95 + 0.1 * self.random.random()))
@@ -42,9 +44,11 @@
         self._beat(now)
 
     def _beat(self, now):
-        hosts = {row.host for row in self.table.present()} | set(self.seeds)
+        others = [row for row in self.table.present() if row.name != self.table.me.name]
+        # Those gone too: they may return.
+        hosts = {row.host for row in self.table.rows.values()} | set(self.seeds)
         for host in sorted(hosts - {self.table.me.host}):
-            self._send(host, [])
+            self._send(host, self.random.sample(others, min(INTRODUCED, len(others))))
 
     def _send(self, host, rows):
         self.counts["sent"] += 1
@@ -67,9 +71,11 @@
         except BadMessage:
             return
         for row in (message.own, *message.rows):
-            if row.name != self.table.me.name and self.table.merge(row) is not None:
-                self._beaten(now, row.name)
-                self.changes += 1
+            new = row.name not in self.table.rows
+            if row.name != self.table.me.name and (row is message.own or new or self.hearsay):
+                if self.table.merge(row) is not None:
+                    self._beaten(now, row.name)
+                    self.changes += 1
 
     def _beaten(self, now, name):
         self.heard_at[name] = now
@@ -78,6 +84,8 @@
 class Gossiped(AllToAll):
     """Tells a few of all heartbeats it knows; each member is judged by its own rhythm here."""
 
+    hearsay = True
+
     def __init__(self, *given):
         super().__init__(*given)
         self.gaps = {}
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -400,6 +400,62 @@
     return play
 
 
+# ---- another process in the place of one
+
+
+class Held:
+    """The platform's part: it holds the clients' listening socket and starts processes that inherit it."""
+
+    def __init__(self, stage, folder):
+        self.stage, self.folder = stage, folder
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(128)
+        stage.address = self.sock.getsockname()
+        self.processes = []
+
+    async def start(self, descriptor=None, **variables):
+        mgmt, own = free_address(), self.sock.fileno()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "heronwinch", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            pass_fds=(own,),
+            env={"RELAY_CONFIG": str(self.stage.write_config()), "PATH": os.environ["PATH"],
+                 "RELAY_MGMT": "{}:{}".format(*mgmt), "RELAY_LISTEN_FD": descriptor or str(own),
+                 "TMPDIR": str(self.folder), **variables})
+        self.processes.append(process)
+        return process, mgmt
+
+    async def ready(self, mgmt):
+        self.stage.mgmt = mgmt
+        async with asyncio.timeout(20):
+            while True:
+                with contextlib.suppress(OSError):
+                    if (await self.stage.call(b"readyz\n")).startswith("+OK"):
+                        return
+                await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+def held(real_stage, tmp_path):
+    """Plays a scene of a stage and a platform that holds the listening socket."""
+    def play(scene, **settings):
+        async def run(s):
+            s.process.terminate()
+            await s.process.wait()
+            platform = Held(s, tmp_path)
+            try:
+                await scene(s, platform)
+            finally:
+                platform.sock.close()
+                for process in platform.processes:
+                    if process.returncode is None:
+                        process.kill()
+                        await process.communicate()
+        # A machine that stands still for a moment must not be taken for a worker without a word.
+        real_stage(run, **{"limits.dial_timeout_ns": 3 * 10**9, **settings})
+    return play
+
+
 # ---- the virtual ground
 
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -1,6 +1,8 @@
 """Views on the whole program: several real processes of it with faults between them, and the same scripts on
 the virtual ground; what a configuration may say of it, and that without it nothing of it is there."""
 
+import asyncio
+import functools
 import json
 import os
 import re
@@ -11,7 +13,7 @@
 
 import msgspec
 import pytest
-from conftest import ROOT, SCRIPT, TERMS, Driver, entry, trouble
+from conftest import FAULTS, ROOT, SCRIPT, TERMS, Driver, entry, free_address, trouble
 
 from heronwinch import interface as it
 from heronwinch.interface import SECOND
@@ -258,26 +260,31 @@
 # ---- the operators' door
 
 
+async def another(stage, fleet, one, two):
+    """A second real dispatcher in the fleet of the stage's own."""
+    tree = stage.tree({"name": "other", "listen": "{}:{}".format(*free_address()), "fleet": {
+        **fleet, "listen": "{}:{}".format(*two), "members": ["{}:{}".format(*one)]}})
+    del tree["mgmt"]
+    path = stage.folder / "other.json"
+    path.write_text(json.dumps(tree))
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "heronwinch", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+        env={"RELAY_CONFIG": str(path), "PATH": os.environ["PATH"]})
+
+
+def addresses():
+    one, two = free_address(), free_address()
+    return one, two, {"name": "door", "listen": "{}:{}".format(*one), "members": ["{}:{}".format(*two)]}
+
+
 @pytest.mark.xdist_group("rig")
 def test_two_real_dispatchers_find_each_other_and_the_door_shows_it(real_stage):
     async def scene(stage):
-        import asyncio
-
-        from conftest import free_address
-
-        one, two = free_address(), free_address()
-        fleet = {"name": "door", "listen": "{}:{}".format(*one), "members": ["{}:{}".format(*two)]}
+        one, two, fleet = addresses()
         stage.process.terminate()
         await stage.process.communicate()
         await stage.start(fleet=fleet)
-        other = stage.tree({"name": "other", "listen": "{}:{}".format(*free_address()), "fleet": {
-            **fleet, "listen": "{}:{}".format(*two), "members": ["{}:{}".format(*one)]}})
-        del other["mgmt"]
-        path = stage.folder / "other.json"
-        path.write_text(json.dumps(other))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "heronwinch", cwd=ROOT, stderr=asyncio.subprocess.DEVNULL,
-            env={"RELAY_CONFIG": str(path), "PATH": os.environ["PATH"]})
+        process = await another(stage, fleet, one, two)
         try:
             async with asyncio.timeout(20):
                 while " serving 2 " not in (line := await stage.call(b"view\n")):
@@ -293,11 +300,46 @@
         finally:
             if process.returncode is None:
                 process.kill()
-                await process.wait()
+                await process.communicate()
 
     real_stage(scene, **{"limits.peers": True})
 
 
+@pytest.mark.xdist_group("rig")
+def test_a_process_that_is_replaced_is_one_member_throughout(held):
+    async def scene(stage, platform):
+        one, two, fleet = addresses()
+        stage.write_config = functools.partial(stage.write_config, fleet=fleet)
+        old, mgmt = await platform.start()
+        await platform.ready(mgmt)
+        other = await another(stage, fleet, one, two)
+        try:
+            async with asyncio.timeout(25):
+                while " serving 2 " not in await stage.call(b"view\n"):
+                    await asyncio.sleep(0.1)
+                new, mgmt = await platform.start()
+                await platform.ready(mgmt)
+                assert " divide 0 " in await stage.call(b"view\n")  # the part is still the old one's
+                old.terminate()
+                _, logged = await old.communicate()
+                assert old.returncode == 0 and b"view_sum" not in logged
+                while " serving 2 " not in await stage.call(b"view\n"):
+                    await asyncio.sleep(0.1)
+                new.terminate()
+                _, logged = await new.communicate()
+                assert new.returncode == 0
+                assert not [word for word in FAULTS if word.encode() in logged], logged
+                other.terminate()
+                _, logged = await other.communicate()
+            assert b"here=2" in logged and b"member_gone" not in logged, logged
+        finally:
+            if other.returncode is None:
+                other.kill()
+                await other.communicate()
+
+    held(scene, **{"limits.peers": True})
+
+
 def test_marks_of_a_script_are_kept_for_the_judge():
     script = parse(VIEWED + trouble("hold", at="1s", lasts="1s", count=1))
     stage, _ = rehearse(msgspec.structs.replace(script), 3, Dispatcher)
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -15,7 +15,7 @@
 from heronwinch.fleet.table import Table
 from heronwinch.fleet.view import View
 from heronwinch.interface import SECOND
-from heronwinch.rehearsal import check, mutants
+from heronwinch.rehearsal import check, compare_views, mutants
 from heronwinch.rehearsal.members import FLEET, Band
 
 
@@ -187,6 +187,18 @@
     assert band.members["d4"].view.table.me.inc > 1000
 
 
+def test_a_member_whose_clock_ran_ahead_is_a_member_like_any():
+    band = settled(6)
+    band.members["d4"].kill()
+    assert band.until_agreed(5) is not None
+    band.up("d4", born=messages.TOP // 2)
+    assert band.until_agreed(3) is not None
+    band.members["d4"].kill()
+    assert band.until_agreed(5) is not None
+    band.up("d4", born=1000)
+    assert band.until_agreed(3) is not None and not band.false
+
+
 def test_seven_in_ten_die_and_come_back():
     band = settled(20)
     dead = names(*range(3, 17))
@@ -354,6 +366,13 @@
     assert sent[60][0] < 1.2 * sent[10][0] and sent[60][1] < 1.2 * sent[10][1]
 
 
+@pytest.mark.parametrize("kind", compare_views.ALL)
+def test_baselines_are_measured_in_the_same_run(kind):
+    row = compare_views.course(kind, 6, 1)
+    assert all(row[event] is not None for event in ("start", *compare_views.EVENTS)), row
+    assert row["messages"] > 0 and row["bytes"] > 0
+
+
 # ---- what work is divided by
 
 
