Rigs side by side have addresses of their own

Observed: six emulations started at one moment, address already in use in two, results that no worker made in one. Cause: ports are chosen, let go and bound again later; another rig took them between. Each rig now has a loopback address and a lane of its own by its process. Clients that spent their time on connecting ask no more (told 400, held against the dispatcher before).

--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -26,7 +26,9 @@
 from heronwinch.rehearsal.stage import LAST_STOP, Stage
 from heronwinch.rehearsal.views import EVENTS
 
-HOST = "127.0.0.1"
+LANES = 50  # of addresses, one for each rig by its process: rigs side by side took each other's ports
+HOST = f"127.{101 + os.getpid() % LANES}.0.{1 + os.getpid() // LANES % 250}"
+LANE = 1 + 2 * (os.getpid() % LANES)  # and the one after it, of dispatchers among themselves
 MOST_LOG = 4_000_000  # bytes read of what a dispatcher logged
 BEAT = 0.02  # seconds between two looks at the rig's own lag
 STOOD = 0.05  # seconds of its own lag for which the rig blames nobody: with the judge's slack it is as much
@@ -108,7 +110,7 @@
         self.relay, self.commands, self.relay_counts = None, 0, None
         self.lag, self.lags = 0.0, []  # the rig's own, in seconds: the worst; (when, lag) of those that count
         if script.dispatchers.view:
-            self.port = self.ports.take(own(0))
+            self.port = self.ports.take(own(0, LANE))
             self._start_relay()
 
     # ---- time and chance
@@ -196,7 +198,7 @@
     def fleet_address(self, name):
         """(where it listens, what others are told)."""
         n = int(name[1:])
-        return f"{own(n)}:{self.port}", f"{told(n)}:{self.relay_port}"
+        return f"{own(n, LANE)}:{self.port}", f"{told(n, LANE)}:{self.relay_port}"
 
     def _start_relay(self):
         # All of 127/8 at once: it is told by the address that was asked for who is meant.
@@ -214,7 +216,7 @@
         datagrams.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 << 20)
         stream.listen(512)
         self.relay = spawned(
-            "relay", stream.fileno(), datagrams.fileno(), self.port, self.seed, stdin=subprocess.PIPE,
+            "relay", stream.fileno(), datagrams.fileno(), self.port, LANE, self.seed, stdin=subprocess.PIPE,
             stdout=subprocess.PIPE, pass_fds=(stream.fileno(), datagrams.fileno()))
         stream.close()
         datagrams.close()
--- a/heronwinch/rehearsal/relay.py
+++ b/heronwinch/rehearsal/relay.py
@@ -1,10 +1,11 @@
 """What passes between dispatchers on loopback, in a process of its own: datagrams and streams, with cuts both
 ways or one way, loss, duplicates, lateness.
 
-Member n of the script is reached at 127.64.(n // 256).(n % 256) on the relay's port, which is what the others
-are told, and listens itself at 127.1.(n // 256).(n % 256), from where it also sends: so both ends of all that
-comes are known by their addresses, and the program runs unchanged. A cut swallows; it never resets. Commands
-come as lines of JSON on standard input; with its end the relay ends, however the rig ended.
+Member n of the script is reached at 127.(L+1).(n // 256).(n % 256) on the relay's port, which is what others
+are told, and listens itself at 127.L.(n // 256).(n % 256), from where it also sends: so both ends of all that
+comes are known by their addresses, and the program runs unchanged. L is the rig's own lane. A cut swallows; it
+never resets. Commands come as lines of JSON on standard input; with its end the relay ends, however the rig
+ended.
 """
 
 import asyncio
@@ -18,7 +19,6 @@
 
 IP_PKTINFO = 8  # in socket since Python 3.14 only
 PKTINFO = struct.Struct("=I4s4s")  # interface, own address, address that was sent to
-OWN, TOLD = 1, 64  # second byte of the addresses where members listen, and where they are reached
 AT_ONCE = 64  # datagrams read in one turn
 PRIORITY = -10  # before the dispatchers, where the system allows it
 PIECE = 64 * 1024
@@ -26,23 +26,23 @@
 OFFLINE = 300.0  # seconds after which a stream that was cut is given up
 
 
-def own(n):
-    return f"127.{OWN}.{n // 256}.{n % 256}"
+def own(n, lane):
+    return f"127.{lane}.{n // 256}.{n % 256}"
 
 
-def told(n):
-    return f"127.{TOLD}.{n // 256}.{n % 256}"
+def told(n, lane):
+    return own(n, lane + 1)
 
 
-def number(ip):
+def number(ip, lane):
     """The member with that address, either of its two; None for any other."""
     parts = [int(part) for part in ip.split(".")]
-    return parts[2] * 256 + parts[3] if parts[1] in (OWN, TOLD) else None
+    return parts[2] * 256 + parts[3] if parts[1] in (lane, lane + 1) else None
 
 
 class Relay:
-    def __init__(self, port, seed):
-        self.port = port  # at which members listen
+    def __init__(self, port, lane, seed):
+        self.port, self.lane = port, lane  # at which members listen
         self.random = Random(seed)
         self.bars = {}  # number of the command -> (some, others): nothing passes from the one to the other
         self.roughs = {}  # number of the command -> (loss, twice, late in seconds)
@@ -78,8 +78,8 @@
             except OSError:
                 continue  # what could not be delivered before: the member is down
             target = next((value for _, kind, value in about if kind == IP_PKTINFO), None)
-            one = number(source[0])
-            other = number(socket.inet_ntoa(PKTINFO.unpack(target)[2])) if target else None
+            one = number(source[0], self.lane)
+            other = number(socket.inet_ntoa(PKTINFO.unpack(target)[2]), self.lane) if target else None
             if one is None or other is None:
                 continue
             self.counts["datagrams"] += 1
@@ -100,7 +100,7 @@
     def _send(self, data, one, other):
         if self.passes(one, other):
             try:
-                self.sock.sendto(data, (own(other), self.port))
+                self.sock.sendto(data, (own(other, self.lane), self.port))
             except OSError:
                 self.counts["lost"] += 1
 
@@ -112,15 +112,16 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _stream(self, reader, writer):
-        one = number(writer.get_extra_info("peername")[0])
-        other = number(writer.get_extra_info("sockname")[0])
+        one = number(writer.get_extra_info("peername")[0], self.lane)
+        other = number(writer.get_extra_info("sockname")[0], self.lane)
         far = None
         try:
             if one is None or other is None:
                 return
             async with asyncio.timeout(OFFLINE):
                 await self._until(one, other)
-                back, far = await asyncio.open_connection(own(other), self.port, local_addr=(own(one), 0))
+                back, far = await asyncio.open_connection(
+                    own(other, self.lane), self.port, local_addr=(own(one, self.lane), 0))
                 async with asyncio.TaskGroup() as both:
                     both.create_task(self._pump(reader, far, one, other))
                     both.create_task(self._pump(back, writer, other, one))
@@ -157,10 +158,10 @@
             raise ValueError(what)
 
 
-async def main(stream_fd, datagram_fd, port, seed):
+async def main(stream_fd, datagram_fd, port, lane, seed):
     with contextlib.suppress(OSError):
         os.setpriority(os.PRIO_PROCESS, 0, PRIORITY)
-    relay = Relay(int(port), seed)
+    relay = Relay(int(port), int(lane), seed)
     await relay.listen(socket.socket(fileno=int(stream_fd)), socket.socket(fileno=int(datagram_fd)))
     reader = asyncio.StreamReader()
     await relay.loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
--- a/heronwinch/rehearsal/standins/clients.py
+++ b/heronwinch/rehearsal/standins/clients.py
@@ -188,6 +188,11 @@
             if line is None:
                 await asyncio.sleep(0.02)
                 continue
+            if wanted.came + wanted.kind.expiry - self.clock.now() < LEAST:
+                # The connection took what was left. Guards against questions with less than no time, which
+                # were told 400 and held against the dispatcher.
+                self.pools[dispatcher].append(line)
+                return None
             ask = Ask(len(self.ledger), id, wanted, tried, dispatcher)
             self.ledger.append(ask)
             return await self._ask(ask, line)
