--- a/heronwinch/rehearsal/relay.py
+++ b/heronwinch/rehearsal/relay.py
@@ -3,9 +3,9 @@
 
 Member n of the script is reached at 127.(L+1).(n // 256).(n % 256) on the relay's port, which is what others
 are told, and listens itself at 127.L.(n // 256).(n % 256), from where it also sends: so both ends of all that
-comes are known by their addresses, and the program runs unchanged. L is the rig's own lane. A cut swallows; it
-never resets. Commands come as lines of JSON on standard input; with its end the relay ends, however the rig
-ended.
+comes are known by their addresses, and the program runs unchanged. L is the rig's own lane. A cut swallows,
+it never resets. Commands come as lines of JSON on standard input; with its end the relay ends, however the
+rig ended.
 """
 
 import asyncio
