--- a/heronwinch/fleet/view.py
+++ b/heronwinch/fleet/view.py
@@ -38,6 +38,8 @@
 MS = SECOND // 1000
 SICKEST = 4  # of the local health: times and pauses are up to five times as long
 ROOM = 1000  # bytes of rows that a datagram carries
+HURRY = 2 * SECOND  # after a probe that failed
+LOOKERS = 8  # of those who hear of a suspicion, how many probe for themselves
 MOST_AT_ONCE = 4  # datagrams of news to one member in a round
 LONGEST_TRIP = 5 * SECOND  # that an answer is held to take
 MOST_PROBES = 64  # out at a time
@@ -52,7 +54,7 @@
     patience: int = 120 * MS  # with which an answer is awaited before it is asked again, and through others
     helpers: int = 3  # who are asked to ask
     short: int = 1200 * MS  # of a suspicion that others confirm
-    long: int = 3500 * MS  # of one that nobody confirms
+    long: int = 3000 * MS  # of one that nobody confirms
     confirmations: int = 2  # that make it as short as it gets
     gossip: int = 200 * MS  # from news to news, while there are any
     fan: int = 3  # to so many
@@ -105,7 +107,7 @@
         self.seq = 0
         self.tries = 0  # in vain, while nobody was found
         self.next_exchange = 0
-        self.hurries = False  # the last probe failed, and not for this one's own sake
+        self.hurries_until = 0  # a probe has failed of late, and not for this one's own sake
         self.stopped = False
         self.changes = 0  # of the view, counted
         self.former = {}  # name -> the row of its earlier life, to be told to the later one
@@ -268,8 +270,9 @@
         if row.state == SUSPECT:
             if row.name not in self.suspects:
                 self.suspects[row.name] = Suspicion(now)
-                # A few of those who hear of it look for themselves: their word shortens or ends it.
-                if row.by != self.table.me.name and self.random.random() * self.table.here < 4:
+                # A few of those who hear of it look for themselves: their word shortens or ends it. Of the
+                # hearers seven in ten may be dead.
+                if row.by != self.table.me.name and self.random.random() * self.table.here < LOOKERS:
                     self._probe(now, row)
             self.suspects[row.name].by.add(row.by)
         else:
@@ -341,7 +344,7 @@
 
     def _probe_next(self, now):
         pause = self.pace.period * (1 + self.health)
-        if self.hurries and not self.health:
+        if now < self.hurries_until and not self.health:
             pause //= 4  # many may have died at once, and each probe finds one
         self._later(now + int(pause * (0.9 + 0.2 * self.random.random())), self._probe_next)
         if self.stopped or self.table.yielded:
@@ -390,7 +393,9 @@
         # Not even those answered who were asked to help, and nobody else was heard: it is as likely this one
         # that is not well. Where seven in ten died, helpers are silent too, but somebody is heard.
         alone = not probe.nacks and self.heard_at < probe.began
-        self.hurries = not alone
+        if not alone:
+            # For a while, whatever the next probes say: three in ten that answered held up the search.
+            self.hurries_until = now + HURRY
         if alone:
             self.health = min(SICKEST, self.health + 1)
         self.counts["unanswered"] += 1
@@ -421,7 +426,6 @@
             else:
                 self.trip -= max(0, self.trip - took) // 16
         if probe is not None:
-            self.hurries = False
             self.health = max(0, self.health - 1)
             self.tries = 0
 
