--- a/heronwinch/fleet/view.py
+++ b/heronwinch/fleet/view.py
@@ -39,7 +39,8 @@
 SICKEST = 4  # of the local health: times and pauses are up to five times as long
 ROOM = 1000  # bytes of rows that a datagram carries
 HURRY = 2 * SECOND  # after a probe that failed
-LOOKERS = 8  # of those who hear of a suspicion, how many probe for themselves
+LOOKERS, FEW_LOOKERS = 8, 2  # of those who hear of a suspicion, how many probe for themselves
+BUSY = 10 * MS  # late by so much, a timer shows a machine that is short of time
 MOST_AT_ONCE = 4  # datagrams of news to one member in a round
 LONGEST_TRIP = 5 * SECOND  # that an answer is held to take
 MOST_PROBES = 64  # out at a time
@@ -96,6 +97,7 @@
         self.timers = []
         self.order = 0
         self.health = 0  # 0 well
+        self.lag = 0  # how late its last timer rang; where time is short, haste makes it shorter
         self.queue = {}  # name -> how often its row was told onward
         self.suspects = {}  # name -> Suspicion
         self.probes = {}  # seq -> Probe
@@ -126,7 +128,7 @@
         return self.timers[0][0]
 
     def tick(self, now):
-        late = now - self.due
+        late = self.lag = now - self.due
         if late > self.pace.stall:
             self._stood_still(late)
         while self.timers and self.due <= now:
@@ -272,7 +274,8 @@
                 self.suspects[row.name] = Suspicion(now)
                 # A few of those who hear of it look for themselves: their word shortens or ends it. Of the
                 # hearers seven in ten may be dead.
-                if row.by != self.table.me.name and self.random.random() * self.table.here < LOOKERS:
+                lookers = LOOKERS if self.lag < BUSY else FEW_LOOKERS
+                if row.by != self.table.me.name and self.random.random() * self.table.here < lookers:
                     self._probe(now, row)
             self.suspects[row.name].by.add(row.by)
         else:
@@ -344,7 +347,7 @@
 
     def _probe_next(self, now):
         pause = self.pace.period * (1 + self.health)
-        if now < self.hurries_until and not self.health:
+        if now < self.hurries_until and not self.health and self.lag < BUSY:
             pause //= 4  # many may have died at once, and each probe finds one
         self._later(now + int(pause * (0.9 + 0.2 * self.random.random())), self._probe_next)
         if self.stopped or self.table.yielded:
