Read again: one list of barred ways in the virtual network, dead code of the view taken out

A cut is two barred ways, so cuts and one-way bars share one list and one end (they stood beside each other with two); the relay is told in one place; the view's own copy of msgspec's replace, Table.forget, Parts.alone, an unused constant and re-exports are gone; log times by datetime itself.

--- a/heronwinch/fleet/parts.py
+++ b/heronwinch/fleet/parts.py
@@ -18,8 +18,7 @@
 
     def __init__(self, alone, settle=SETTLE):
         self.settle = settle
-        self.alone = alone  # by its configuration: there are no others to look for
-        self.admitted = alone
+        self.admitted = alone  # by its configuration there are no others to look for
         self.quiet_since = None  # since when the roll has been the same and nobody missing
         self.roll = frozenset()
         self.highs = []  # (until when, count): counts grow at once and shrink `settle` later
--- a/heronwinch/fleet/table.py
+++ b/heronwinch/fleet/table.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from heronwinch.fleet.messages import GONE, LEAVING, LEFT, MOST_ROWS, SUSPECT, TOP, Row
+from heronwinch.fleet.messages import GONE, LEAVING, MOST_ROWS, TOP, Row
 
 RANK = (0, 0, 0, 1, 2, 3)  # of a state, within one incarnation
 
@@ -90,11 +90,6 @@
             return None
         return self.merge(msgspec.structs.replace(old, state=state, by=by))
 
-    def forget(self, name):
-        row = self.rows[name]
-        if row.state >= GONE:
-            del self.rows[name]
-
     def _put(self, row):
         old = self.rows.get(row.name)
         if old is not None and old.state < GONE:
@@ -112,6 +107,3 @@
     def missing(self):
         """Names of those who fell silent and have not said that they leave."""
         return [row.name for row in self.rows.values() if row.state == GONE]
-
-
-__all__ = ["Table", "key", "mark", "GONE", "LEFT", "SUSPECT"]
--- a/heronwinch/fleet/view.py
+++ b/heronwinch/fleet/view.py
@@ -13,6 +13,8 @@
 from math import ceil, log
 from typing import NamedTuple
 
+import msgspec
+
 from heronwinch.fleet.messages import (
     GONE,
     JOINING,
@@ -395,12 +397,11 @@
             del self.late[next(iter(self.late))]
         # Not even those answered who were asked to help, and nobody else was heard: it is as likely this one
         # that is not well. Where seven in ten died, helpers are silent too, but somebody is heard.
-        alone = not probe.nacks and self.heard_at < probe.began
-        if not alone:
+        if not probe.nacks and self.heard_at < probe.began:
+            self.health = min(SICKEST, self.health + 1)
+        else:
             # For a while, whatever the next probes say: three in ten that answered held up the search.
             self.hurries_until = now + HURRY
-        if alone:
-            self.health = min(SICKEST, self.health + 1)
         self.counts["unanswered"] += 1
         name = probe.name
         me = self.table.me.name
@@ -409,7 +410,7 @@
             if me not in suspicion.by:
                 suspicion.by.add(me)
                 self.queue[name] = 0
-                self.table.rows[name] = _by(self.table.rows[name], me)
+                self.table.rows[name] = msgspec.structs.replace(self.table.rows[name], by=me)
         else:
             self._told(now, self.table.doubt(name, SUSPECT, me))
 
@@ -460,7 +461,7 @@
             if now - since > REMEMBERED:
                 del self.ended[name]
                 if name in self.table.rows and self.table.rows[name].state == LEFT:
-                    self.table.forget(name)
+                    del self.table.rows[name]
 
     # ---- looking for others
 
@@ -501,7 +502,3 @@
             return 1.0 / max(1, self.table.here)
         whole = self.rate + sum(known) / len(known) * others
         return self.rate / whole if whole > 0 else 1.0 / self.table.here
-
-
-def _by(row, name):
-    return Row(row.name, row.state, row.inc, row.life, row.host, row.area, name, row.form)
--- a/heronwinch/net/fleet.py
+++ b/heronwinch/net/fleet.py
@@ -18,8 +18,7 @@
 
 log = structlog.get_logger()
 
-SOCKETS = 16  # descriptors that it may hold: its two, streams both ways, those just accepted (program.py)
-STREAMS = 6  # each way at a time
+STREAMS = 6  # each way at a time; with its own two sockets and those just accepted in program.FLEET_SOCKETS
 LONGEST = 2.0  # seconds that an exchange of whole views may take
 UNSENT = 64 * 1024  # bytes of datagrams that wait for the system; what comes on top is dropped, as on a path
 LOOK = 1.0  # seconds between two looks at the own rate and part
--- a/heronwinch/rehearsal/ground/network.py
+++ b/heronwinch/rehearsal/ground/network.py
@@ -315,7 +315,6 @@
         self.rough = []  # what datagrams suffer just now
         self.ways = []  # (ips, ips): nothing passes from the first to the second
         self.count = 0
-        self.cuts = []  # (ips, ips): nothing passes between these
         self.vanished = set()  # ips of machines that say nothing
         self.waiting = {}  # ends that hold what a cut swallowed
         self.ports = {}  # ip -> the last port given out
@@ -332,28 +331,23 @@
     def passes(self, one, other):
         if one in self.vanished or other in self.vanished:
             return False
-        if self.ways and any(one in some and other in others for some, others in self.ways):
-            return False
-        return not any((one in a and other in b) or (one in b and other in a) for a, b in self.cuts)
+        return not any(one in some and other in others for some, others in self.ways)
 
     def cut(self, some, others):
-        cut = frozenset(some), frozenset(others)
-        self.cuts.append(cut)
-        return cut
+        """Nothing passes between them."""
+        return self.bar(some, others) + self.bar(others, some)
 
-    def heal(self, cut):
-        self.cuts.remove(cut)
+    def heal(self, ways):
+        """Ends a cut or a bar."""
+        for way in ways:
+            self.ways.remove(way)
         self._through()
 
     def bar(self, some, others):
         """Nothing passes from the one to the other; the way back is open."""
         way = frozenset(some), frozenset(others)
         self.ways.append(way)
-        return way
-
-    def unbar(self, way):
-        self.ways.remove(way)
-        self._through()
+        return [way]
 
     def throw(self, sender, data, address):
         """A datagram on its way, or on two, or on none."""
@@ -397,7 +391,7 @@
     def carry(self, end, what, data):
         self.kernel.note(end.number, data or what.encode())
         self.sent += len(data)
-        if (self.cuts or self.ways or self.vanished or end.held) and (
+        if (self.ways or self.vanished or end.held) and (
             end.held or not self.passes(end.address[0], end.peer.address[0])
         ):
             end.held.append((what, data))
@@ -411,7 +405,7 @@
 
     def _arrive(self, end, what, data):
         """A path that was cut meanwhile swallows what was under way too."""
-        if (self.cuts or self.ways or self.vanished) and not self.passes(end.address[0], end.peer.address[0]):
+        if (self.ways or self.vanished) and not self.passes(end.address[0], end.peer.address[0]):
             if end.purged and what != "rst":
                 return
             end.held.append((what, data))
--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -13,7 +13,7 @@
 import socket
 import subprocess
 import time
-from datetime import UTC, datetime
+from datetime import datetime
 
 from heronwinch.interface import SECOND
 from heronwinch.net.machine import Machine
@@ -222,20 +222,23 @@
         datagrams.close()
 
     def _tell_relay(self, what, *words):
-        self.commands += 1
-        self.relay.stdin.write(json.dumps([what, self.commands, *words]).encode() + b"\n")
+        self.relay.stdin.write(json.dumps([what, *words]).encode() + b"\n")
         self.relay.stdin.flush()
+
+    def _begin(self, what, *words):
+        """A key, by which it is ended."""
+        self.commands += 1
+        self._tell_relay(what, self.commands, *words)
         return self.commands
 
     def bar(self, some, others):
-        return self._tell_relay("bar", *([int(name[1:]) for name in names] for names in (some, others)))
+        return self._begin("bar", *([int(name[1:]) for name in names] for names in (some, others)))
 
     def roughen(self, loss, twice, late):
-        return self._tell_relay("rough", loss, twice, late / SECOND)
+        return self._begin("rough", loss, twice, late / SECOND)
 
     def unbar(self, key):
-        self.relay.stdin.write(json.dumps(["end", key]).encode() + b"\n")
-        self.relay.stdin.flush()
+        self._tell_relay("end", key)
 
     smooth = unbar
 
@@ -270,10 +273,8 @@
                     continue
                 event = {key: value.strip('"') for key, value in PAIR.findall(line)}
                 if event.get("event") in EVENTS and "timestamp" in event:
-                    when = datetime.fromisoformat(event["timestamp"]).replace(tzinfo=UTC)
-                    since = when - datetime(1970, 1, 1, tzinfo=UTC)
-                    microseconds = (since.days * 86400 + since.seconds) * 1_000_000 + since.microseconds
-                    yield microseconds * 1000, name, event
+                    when = datetime.fromisoformat(event["timestamp"]).timestamp()
+                    yield round(when * 1_000_000) * 1000, name, event
 
     # ---- the end
 
--- a/heronwinch/rehearsal/members.py
+++ b/heronwinch/rehearsal/members.py
@@ -1,7 +1,7 @@
 """Members of a fleet alone, each a view without its dispatcher, on the kernel's clock: a thousand of them
 cost seconds. Paths have delay, loss, duplicates and cuts, one way too; members are killed, held, slow."""
 
-from heronwinch.fleet.messages import GONE, JOINING, SUSPECT, Row
+from heronwinch.fleet.messages import JOINING, Row
 from heronwinch.fleet.parts import Parts
 from heronwinch.fleet.view import MS, Pace, View
 from heronwinch.interface import SECOND
@@ -206,6 +206,3 @@
     def shares(self):
         """What the parts of all who live add up to, of what is theirs together."""
         return sum(1 / member.parts.count for member in self.living() if member.parts.count)
-
-
-__all__ = ["Band", "Member", "GONE", "SUSPECT"]
--- a/heronwinch/rehearsal/virtual.py
+++ b/heronwinch/rehearsal/virtual.py
@@ -209,7 +209,7 @@
         return self.network.bar([self.ips[name] for name in some], [self.ips[name] for name in others])
 
     def unbar(self, way):
-        self.network.unbar(way)
+        self.network.heal(way)
 
     def roughen(self, loss, twice, late):
         rough = Rough(loss, twice, late)
