--- a/heronwinch/cli.py
+++ b/heronwinch/cli.py
@@ -211,7 +211,7 @@
 def emulate(script, seed, path, size, only, port):
     """Play SCRIPT on loopback sockets in real time, with real dispatcher processes."""
     from heronwinch.rehearsal.account import account
-    from heronwinch.rehearsal.loopback import Unplayable, play, serve_fleet
+    from heronwinch.rehearsal.loopback import play, serve_fleet
     from heronwinch.rehearsal.script import twin
 
     told = twin(read(script), size)
@@ -224,8 +224,6 @@
             stage = play(told, seed, progress)
         finally:
             progress.end()
-    except Unplayable as fault:
-        raise Bad(f"{script}: {fault}") from None
     except OSError as fault:
         raise Stop(f"{script}: the emulator failed: {fault}") from fault
     tree, breaches, judge = account(told, seed, "module", stage.ledgers)
--- /dev/null
+++ b/heronwinch/rehearsal/branch.py
@@ -0,0 +1,355 @@
+"""Stand-ins of a rig in processes of their own: some of the workers, a share of the clients, discovery.
+
+Every process of a rig plays the whole script from the same seed, so all draw the same targets at the same
+times; each carries out what is its own and leaves the rest out. What one process alone can know (a worker has
+fallen over) it tells the rig, which tells the others. At the end each hands over its ledgers.
+
+Commands come as lines of JSON on standard input (`begin`, `fell`, `finish`); news go out as lines of JSON,
+the last of them {"ledgers": bytes}, then so many bytes of pickle: from a process of the rig's own to its
+parent."""
+
+import asyncio
+import contextlib
+import gc
+import json
+import os
+import pickle
+import resource
+import sys
+from math import ceil
+from typing import NamedTuple
+
+from heronwinch.interface import SECOND, Effect, Group
+from heronwinch.net.machine import Machine
+from heronwinch.rehearsal import script as scripts
+from heronwinch.rehearsal.ground.kernel import source
+from heronwinch.rehearsal.ledgers import ALL
+from heronwinch.rehearsal.paths import Path, Paths, address
+from heronwinch.rehearsal.stage import Stage
+
+BEAT = 0.02  # seconds between two looks at the own lag
+STOOD = 0.05  # seconds of own lag for which nobody is blamed: with the judge's slack it is as much
+STOOD_STILL = "the machine stood still"
+PRIORITY = -10  # of the rig, its stand-ins and its relay before the dispatchers, where the system allows it
+CLIENTS, WORKERS, DISCOVERY = "clients", "workers", "discovery"
+A_CLIENTS, A_WORKERS = 120.0, 160.0  # work items a second that one process of them is given
+MOST = 4  # processes of a kind
+
+
+class Part(NamedTuple):
+    """What one process plays: number `index` of `of` shares of the clients, or the workers of those names."""
+
+    kind: str
+    index: int = 0
+    of: int = 1
+    names: frozenset = frozenset()
+
+
+class Places(NamedTuple):
+    """Where everything of a rig is; hosts and ports."""
+
+    host: str
+    lane: int  # of the addresses at which dispatchers are told of workers
+    workers: dict  # name -> port
+    dispatchers: dict  # name -> (host, port)
+    moved: dict  # (dispatcher, moves) -> address of its discovery
+
+
+def parts(script):
+    """The processes of a script's stand-ins."""
+    rate = sum(row.rate for row in script.traffic)
+    clients = min(MOST, ceil(rate / A_CLIENTS))
+    deals = _deal(script, min(MOST, ceil(rate / A_WORKERS)))
+    return [Part(DISCOVERY), *(Part(CLIENTS, i, clients) for i in range(clients)),
+            *(Part(WORKERS, i, len(deals), frozenset(names)) for i, names in enumerate(deals))]
+
+
+def _deal(script, count):
+    """Workers dealt out to so many processes at most; who shares marks against repeats stays together."""
+    shapes = scripts.shapes(script)
+    groups = {scripts.GROUPS[row.group] for row in script.categories
+              if scripts.EFFECTS[row.effect] == Effect.TICKETED}
+    bands = {}  # what they share -> names
+    for name, shape in shapes.items():
+        shares = () if Group.ALL in groups else (
+            (shape.area if Group.AREA in groups else "") or None, shape.pod if Group.POD in groups else None)
+        if Group.AREA in groups and Group.POD in groups:
+            shares = ()  # areas and pods cross
+        bands.setdefault(shares if groups else name, []).append(name)
+    dealt = [[] for _ in range(count)]
+    for names in bands.values():
+        min(dealt, key=len).extend(names)
+    return [names for names in dealt if names]
+
+
+class StandInGround:
+    """A ground that carries out what is its own of the stand-ins, and nothing of dispatchers.
+    `tell(what, name)` takes what others have to know."""
+
+    def __init__(self, script, seed, places, own, tell=lambda *_: None):
+        self.script, self.seed, self.places, self.own, self.tell = script, seed, places, own, tell
+        self.clock = Machine()
+        self.loop = asyncio.get_running_loop()
+        self.paths = Paths(self.loop, places.lane, script.network, seed)
+        self.tasks = {}
+        self.faults = []
+        self.coming = []  # tasks that bring up what listens
+        self.lag, self.lags = 0.0, []  # in seconds: the worst; (when, lag) of those that count
+        self.stalls = None  # ledgers that take them
+        # Guards against a trouble that is not played and is told on standard error alone.
+        self.loop.set_exception_handler(self._fault)
+
+    # ---- time and chance
+
+    def after(self, delay, act, *args):
+        self.loop.call_later(max(0, delay) / SECOND, act, *args)
+
+    def random(self, *name):
+        clients = self._clients()
+        if clients is not None and clients.of > 1 and name[0] in ("clients", "front", "rude", "flow"):
+            name = *name, clients.index
+        return source(self.seed, *name)
+
+    def beat(self, due=None):
+        """The process's own lag: what it held up itself."""
+        now = self.loop.time()
+        if due is not None:
+            self.lag = max(self.lag, now - due)
+            if now - due > STOOD:
+                self.lags.append((self.clock.now(), now - due))
+                spell = self.stalls.begin(STOOD_STILL, ALL, self.clock.now())
+                spell.begins -= int((now - due) * SECOND)
+                spell.ends = self.clock.now()
+        self.loop.call_later(BEAT, self.beat, now + BEAT)
+
+    # ---- whose is what
+
+    def has_worker(self, name):
+        return any(part.kind == WORKERS and name in part.names for part in self.own)
+
+    def _clients(self):
+        return next((part for part in self.own if part.kind == CLIENTS), None)
+
+    def _has_discovery(self):
+        return any(part.kind == DISCOVERY for part in self.own)
+
+    # ---- addresses
+
+    def worker_address(self, name):
+        return self.places.host, self.places.workers[name]
+
+    def seen_by(self, dispatcher, tree):
+        """A list as that dispatcher is told it: each worker at an address by which it knows who asks."""
+        host = address(int(dispatcher[1:]), self.places.lane)
+        return {**tree, "hosts": [{**entry, "dial": f"{host}:{entry['dial'].rpartition(':')[2]}"}
+                                  for entry in tree["hosts"]]}
+
+    def dispatcher_address(self, name):
+        return self.places.dispatchers[name]
+
+    def discovery_address(self, name, moves):
+        return self.places.moved[name, moves]
+
+    # ---- stand-ins
+
+    def _spawn(self, coroutine):
+        task = self.loop.create_task(coroutine)
+        self.tasks[task] = None
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task):
+        self.tasks.pop(task, None)
+        if not task.cancelled() and task.exception() is not None:
+            self.faults.append(("emulator", repr(task.exception())))
+
+    def _fault(self, loop, about):
+        self.faults.append(("emulator", f"{about.get('message')}: {about.get('exception')!r}"))
+
+    async def up(self):
+        """Once all that listens at the start does."""
+        while self.coming:
+            coming, self.coming = self.coming, []
+            await asyncio.gather(*coming, return_exceptions=True)  # their faults are kept by `_done`
+
+    def worker_up(self, name, server, address):
+        if self.has_worker(name):
+            server.carried = lambda transport: self._path(name, transport)
+            server.lost = self.paths.left
+            self.coming.append(self._spawn(self._listen(name, server, address)))
+
+    def _path(self, name, transport):
+        return Path(self.paths, name, transport)
+
+    async def _listen(self, name, server, address):
+        await server.listen("0.0.0.0", address[1])
+        if server.ended:
+            server.stop()  # it was ended before it came up
+        else:
+            self.paths.listens(name, server)
+
+    def worker_down(self, name, server, quietly):
+        if self.has_worker(name):
+            server.ended = True
+            if quietly:
+                self.paths.quietly(name)
+            else:
+                server.die()
+
+    def worker_fell(self, name):
+        self.tell("fell", name)
+
+    def within_worker(self, name, act):
+        if self.has_worker(name):
+            self.loop.call_soon(act)
+
+    def within_discovery(self, act):
+        if self._has_discovery():
+            self.loop.call_soon(act)
+
+    def within_clients(self, act, all_of_them=True):
+        """`all_of_them` False: in one process of clients alone."""
+        clients = self._clients()
+        if clients is not None and (all_of_them or not clients.index):
+            self.loop.call_soon(act)
+
+    def discovery_up(self, server, dispatchers):
+        if self._has_discovery():
+            server.seen_by = self.seen_by
+            self.coming += [self._spawn(server.listen_for(name, *self.places.moved[name, 0]))
+                            for name in dispatchers]
+
+    def discovery_moves(self, server, name, address):
+        if self._has_discovery():
+            self._spawn(server.listen_for(name, *address))
+
+    def clients_up(self, play, begin, begins):
+        """`play` is the clients' course; who has no clients calls `begin` when traffic begins."""
+        clients = self._clients()
+        if clients is not None:
+            self._spawn(play(self._spawn, asyncio.sleep))
+        else:
+            self.after(begins - self.clock.now(), begin, self._spawn)
+
+    def shares(self):
+        """By how many traffic is divided."""
+        clients = self._clients()
+        return clients.of if clients is not None else 1
+
+    # ---- the ways to workers
+
+    def cut(self, some, others):
+        return self.paths.cut([name for name in some if self.has_worker(name)],
+                              [int(name[1:]) for name in others])
+
+    def heal(self, key):
+        self.paths.heal(key)
+
+    def vanish(self, name):
+        if self.has_worker(name):
+            self.paths.vanish(name)
+
+    def back(self, name):
+        if self.has_worker(name):
+            self.paths.back(name)
+
+    def slower(self, factor):
+        self.paths.slower(factor)
+
+    def reset_one(self, random):
+        name = random.choice(sorted(self.places.workers))
+        if self.has_worker(name):
+            self.paths.reset_one(name)
+
+    # ---- dispatchers, which are another process's
+
+    def fleet_address(self, name):
+        return "", ""
+
+    def dispatcher_up(self, name, tree):
+        pass
+
+    def dispatcher_kill(self, name):
+        pass
+
+    def dispatcher_signal(self, name, number, tree=None):
+        pass
+
+    def dispatcher_ended(self, name):
+        return True
+
+    def hold(self, name, on):
+        pass
+
+    def bar(self, some, others):
+        pass
+
+    def roughen(self, loss, twice, late):
+        pass
+
+    def unbar(self, key):
+        pass
+
+    smooth = unbar
+
+    def close(self):
+        for task in list(self.tasks):
+            task.cancel()
+
+
+# ---- the process
+
+
+def _handed_over(stage, ground):
+    """What the rig needs of a process at its end."""
+    ledgers = stage.ledgers
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return {
+        "asks": ledgers.asks, "wants": ledgers.wants, "rude": ledgers.rude, "runs": ledgers.runs,
+        "fallen": ledgers.fallen, "forged": ledgers.forged, "meter": ledgers.meter,
+        "told": stage.roster.told, "faults": ground.faults, "lag": ground.lag, "lags": ground.lags,
+        "stalls": [spell for spell in ledgers.spells if spell.what == STOOD_STILL],
+        "cpu_s": used.ru_utime + used.ru_stime, "memory": used.ru_maxrss * 1024,
+    }  # fmt: skip
+
+
+async def main():
+    with contextlib.suppress(OSError):
+        os.setpriority(os.PRIO_PROCESS, 0, PRIORITY)
+    loop = asyncio.get_running_loop()
+    script, seed, places, part = pickle.load(sys.stdin.buffer)  # of the rig's own, written by its parent
+    gc.freeze()
+
+    def tell(what, value=None):
+        sys.stdout.write(json.dumps({what: value}) + "\n")
+        sys.stdout.flush()
+
+    ground = StandInGround(script, seed, places, (part,), tell)
+    stage = Stage(script, ground)
+    ground.stalls = stage.ledgers
+    reader = asyncio.StreamReader()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    tell("loaded")
+    while line := await reader.readline():
+        ((what, value),) = json.loads(line).items()
+        if what == "begin":
+            ground.beat()
+            stage.set_up(value)
+            await ground.up()
+            tell("up")
+        elif what == "fell":
+            stage.fell_elsewhere(value)
+        elif what == "finish":
+            stage.end_workers()
+            data = pickle.dumps(_handed_over(stage, ground), protocol=5)
+            tell("ledgers", len(data))
+            sys.stdout.buffer.write(data)
+            sys.stdout.flush()
+            break
+        else:
+            raise ValueError(what)
+    ground.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -1,5 +1,5 @@
-"""The same stage on real loopback sockets: stand-ins in one process, each dispatcher a process of its own,
-and one between them that relays what they say to each other.
+"""The same stage on real loopback sockets: each dispatcher a process of its own, one between them that relays
+what they say to each other, and stand-ins in several (`branch.py`).
 
 Nothing outlives the rig, not even when it is killed: what a dispatcher reads and logs lies in memory, in
 files without a name, and the system kills every process of the rig with it."""
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import pickle
 import re
 import signal
 import socket
@@ -16,11 +17,10 @@
 from datetime import datetime
 
 from heronwinch.interface import SECOND
-from heronwinch.net.machine import Machine
 from heronwinch.rehearsal import script as scripts
+from heronwinch.rehearsal import stage as stages
+from heronwinch.rehearsal.branch import DISCOVERY, PRIORITY, WORKERS, Part, Places, StandInGround, parts
 from heronwinch.rehearsal.course import FAULTS
-from heronwinch.rehearsal.ground.kernel import source
-from heronwinch.rehearsal.ledgers import ALL
 from heronwinch.rehearsal.nursery import Nursery, spawned
 from heronwinch.rehearsal.relay import own, told
 from heronwinch.rehearsal.stage import LAST_STOP, Stage
@@ -28,39 +28,28 @@
 
 LANES = 50  # of addresses, one for each rig by its process: rigs side by side took each other's ports
 HOST = f"127.{101 + os.getpid() % LANES}.0.{1 + os.getpid() // LANES % 250}"
+EVERYWHERE = "0.0.0.0"
+PAIRS = 101 + LANES + os.getpid() % LANES  # of workers, as dispatchers are told them
 LANE = 1 + 2 * (os.getpid() % LANES)  # and the one after it, of dispatchers among themselves
 MOST_LOG = 4_000_000  # bytes read of what a dispatcher logged
-BEAT = 0.02  # seconds between two looks at the rig's own lag
-STOOD = 0.05  # seconds of its own lag for which the rig blames nobody: with the judge's slack it is as much
-PRIORITY = -10  # of the rig and its relay before the dispatchers, where the system allows it
+LOADED = SECOND  # that the processes of stand-ins have to come up in
+HANDED_OVER = 60  # seconds that they have to hand over their ledgers
 PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')  # of structlog's logfmt
 SIGNS = (*FAULTS, "Traceback")  # of a fault, in the lines of a log
 
 
-class Unplayable(ValueError):
-    """The script has troubles that real sockets cannot be given."""
-
-
-def check(script):
-    for i, trouble in enumerate(script.troubles):
-        if not scripts.TROUBLES[trouble.what].loopback:
-            raise Unplayable(
-                f"troubles[{i}].what: {trouble.what} can be played in virtual time only; "
-                f"use heronwinch rehearse, or take it out"
-            )
-
-
 class Ports:
-    """Free ports, held until all are chosen so that none is given twice."""
+    """Free ports, held until all are chosen so that none is given twice; those of all addresses for as long
+    as the rig lives, as another rig would find them free while a worker is down."""
 
     def __init__(self):
-        self.held = []
+        self.held, self.kept = [], []
 
     def take(self, host=HOST):
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, 0))
-        self.held.append(sock)
+        (self.kept if host == EVERYWHERE else self.held).append(sock)
         return sock.getsockname()[1]
 
     def release(self):
@@ -68,6 +57,11 @@
             sock.close()
         self.held.clear()
 
+    def close(self):
+        self.release()
+        for sock in self.kept:
+            sock.close()
+
 
 class Memory:
     """A file without a name, which others read and write by this process's descriptor of it."""
@@ -89,81 +83,119 @@
         os.close(self.number)
 
 
-class LoopbackGround:
-    def __init__(self, script, seed):
-        self.script, self.seed = script, seed
-        self.clock = Machine()
-        self.loop = asyncio.get_running_loop()
-        self.ports = Ports()
-        self.addresses = {}
-        self.moved = {}  # (dispatcher, moves) -> address of its discovery
-        for name in scripts.dispatcher_names(script):
-            for moves in range(1 + sum(trouble.what == "list-move" for trouble in script.troubles)):
-                self.moved[name, moves] = HOST, self.ports.take()
-        self.configs, self.logs = {}, {}  # dispatcher -> Memory
-        self.nursery = Nursery()
-        self.processes = {}
-        self.spent = []  # (seconds of processor time, bytes) of each dispatcher before the last stop
-        self.tasks = {}
-        self.faults = []
-        self.closed = False
-        self.relay, self.commands, self.relay_counts = None, 0, None
-        self.lag, self.lags = 0.0, []  # the rig's own, in seconds: the worst; (when, lag) of those that count
-        if script.dispatchers.view:
-            self.port = self.ports.take(own(0, LANE))
-            self._start_relay()
-
-    # ---- time and chance
-
-    def after(self, delay, act, *args):
-        self.loop.call_later(max(0, delay) / SECOND, act, *args)
+def take_places(script, ports):
+    """Where everything of a script is."""
+    moves = 1 + sum(trouble.what == "list-move" for trouble in script.troubles)
+    names = scripts.dispatcher_names(script)
+    return Places(HOST, PAIRS, {name: ports.take(EVERYWHERE) for name in scripts.worker_names(script)},
+                  {name: (HOST, ports.take()) for name in names},
+                  {(name, move): (HOST, ports.take()) for name in names for move in range(moves)})
 
-    def random(self, *name):
-        return source(self.seed, *name)
 
-    # ---- addresses
+class Branch:
+    """A process of stand-ins."""
 
-    def worker_address(self, name):
-        return self.addresses.setdefault(name, (HOST, self.ports.take()))
+    def __init__(self, part):
+        self.part = part
+        self.process = spawned("branch", stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        self.reader = None
 
-    dispatcher_address = worker_address
+    async def start(self, *what):
+        self.reader = asyncio.StreamReader()
+        await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(self.reader), self.process.stdout)
+        self.process.stdin.write(pickle.dumps((*what, self.part)))
+        self.process.stdin.flush()
+        await self.heard("loaded")
 
-    def discovery_address(self, name, moves):
-        return self.moved[name, moves]
+    def say(self, what, value=None):
+        with contextlib.suppress(BrokenPipeError):  # its end is found by who reads
+            self.process.stdin.write(json.dumps({what: value}).encode() + b"\n")
+            self.process.stdin.flush()
 
-    # ---- stand-ins, all in this process
+    async def news(self):
+        """(what, value) that it says next."""
+        line = await self.reader.readline()
+        if not line:
+            raise OSError(f"stand-ins ended before the run did ({self.part.kind} {self.part.index})")
+        ((what, value),) = json.loads(line).items()
+        return what, value
 
-    def _spawn(self, coroutine):
-        task = self.loop.create_task(coroutine)
-        self.tasks[task] = None
-        task.add_done_callback(self._done)
-        return task
+    async def heard(self, wanted):
+        """What it answers where it is to say just that."""
+        what, value = await self.news()
+        if what != wanted:
+            raise OSError(f"stand-ins said {what} where {wanted} was due")
+        return value
 
-    def _done(self, task):
-        self.tasks.pop(task, None)
-        if not task.cancelled() and task.exception() is not None:
-            self.faults.append(("emulator", repr(task.exception())))
+    async def ledgers(self, value):
+        return pickle.loads(await self.reader.readexactly(value))
 
-    def worker_up(self, name, server, address):
-        self._spawn(server.listen(*address))
+    def end(self):
+        self.process.kill()
+        self.process.wait()
+        self.process.stdin.close()
 
-    def worker_down(self, name, server, quietly):
-        server.die()
 
-    def within_worker(self, name, act):
-        self.loop.call_soon(act)
+class LoopbackGround(StandInGround):
+    """The rig's own process: dispatchers, what passes between them, and the processes of stand-ins."""
 
-    within_discovery = within_clients = lambda self, act: self.loop.call_soon(act)
+    def __init__(self, script, seed):
+        self.ports = Ports()
+        super().__init__(script, seed, take_places(script, self.ports), ())
+        self.configs, self.logs = {}, {}  # dispatcher -> Memory
+        self.nursery = Nursery()
+        self.processes = {}
+        self.spent = []  # (seconds of processor time, bytes) of each dispatcher before the last stop
+        self.branches = [Branch(part) for part in parts(script)]
+        self.handed = []  # (part, what it handed over at the end)
+        self.closed = False
+        self.relay, self.commands, self.relay_counts = None, 0, None
+        if script.dispatchers.view:
+            self.port = self.ports.take(own(0, LANE))
+            self._start_relay()
 
-    def discovery_up(self, server, dispatchers):
-        for name in dispatchers:
-            self._spawn(server.listen_for(name, *self.moved[name, 0]))
+    # ---- processes of stand-ins
 
-    def discovery_moves(self, server, name, address):
-        self._spawn(server.listen_for(name, *address))
+    async def branch_out(self, stage, begins):
+        await asyncio.gather(*(branch.start(self.script, self.seed, self.places) for branch in self.branches))
+        for branch in self.branches:
+            branch.say("begin", begins)
+        await asyncio.gather(*(branch.heard("up") for branch in self.branches))
+        for branch in self.branches:
+            self._spawn(self._hear(branch, stage))
 
-    def clients_up(self, play):
-        self._spawn(play(self._spawn, asyncio.sleep))
+    async def _hear(self, branch, stage):
+        """What one of them tells, up to its ledgers."""
+        while True:
+            what, value = await branch.news()
+            if what == "ledgers":
+                self.handed.append((branch.part, await branch.ledgers(value)))
+                return
+            stage.fell_elsewhere(value)
+            for other in self.branches:
+                if other is not branch:
+                    other.say(what, value)
+
+    async def gather_in(self):
+        """The ledgers of all of them."""
+        for branch in self.branches:
+            branch.say("finish")
+        until = time.monotonic() + HANDED_OVER
+        while len(self.handed) < len(self.branches) and time.monotonic() < until and not self.faults:
+            await asyncio.sleep(0.02)
+        if len(self.handed) < len(self.branches):
+            self.faults.append(("emulator", "not all stand-ins handed over their ledgers"))
+
+    def merge(self, ledgers):
+        """What processes of stand-ins wrote down, into those of the rig."""
+        for part, rows in sorted(self.handed, key=lambda pair: (pair[0].kind, pair[0].index)):
+            for name in ("asks", "wants", "rude", "runs", "fallen", "forged", "faults"):
+                getattr(ledgers, name).extend(rows[name])
+            ledgers.meter.add(rows["meter"])
+            if part.kind == DISCOVERY:
+                ledgers.told = rows["told"]
+            ledgers.spells += rows["stalls"]
 
     # ---- dispatchers
 
@@ -171,7 +203,7 @@
         if name not in self.configs:
             self.configs[name], self.logs[name] = Memory(f"{name}.json"), Memory(f"{name}.log")
         config = self.configs[name]
-        config.write(json.dumps(tree).encode())
+        config.write(json.dumps(tree()).encode())
         log = os.open(self.logs[name].path(), os.O_WRONLY | os.O_APPEND)
         self.processes[name] = self.nursery.start(config.number, log)
         os.close(log)
@@ -182,7 +214,7 @@
 
     def dispatcher_signal(self, name, number, tree=None):
         if tree is not None:
-            self.configs[name].write(json.dumps(tree).encode())
+            self.configs[name].write(json.dumps(tree()).encode())
         if self.processes[name].poll() is None:
             self.processes[name].send_signal(number)
 
@@ -242,26 +274,26 @@
 
     smooth = unbar
 
-    # ---- the rig's own lag
-
-    def beat(self, due=None):
-        now = self.loop.time()
-        if due is not None:
-            self.lag = max(self.lag, now - due)
-            if now - due > STOOD:
-                self.lags.append((self.clock.now(), now - due))
-                spell = self.stalls.begin("the machine stood still", ALL, self.clock.now())
-                spell.begins -= int((now - due) * SECOND)
-                spell.ends = self.clock.now()
-        self.loop.call_later(BEAT, self.beat, now + BEAT)
+    # ---- what the rig did
 
     def tree(self):
         """What the rig itself did to the run."""
         relayed = self.relay_counts or {}
         cpu, memory = zip(*self.spent, strict=True) if self.spent else ((0,), (0,))
+        lags = {"rig": (self.lag, self.lags)}
+        standins = {}
+        for part, rows in self.handed:
+            worst, those = lags.get(part.kind, (0.0, []))
+            lags[part.kind] = max(worst, rows["lag"]), those + rows["lags"]
+            count, spent, held = standins.get(part.kind, (0, 0.0, 0))
+            standins[part.kind] = count + 1, spent + rows["cpu_s"], max(held, rows["memory"])
         return {"dispatchers": len(self.spent), "cpu_s_mean": round(sum(cpu) / len(cpu), 2),
                 "cpu_s_most": round(max(cpu), 2), "memory_mb_most": round(max(memory) / 2**20, 1),
-                "lag_ms": round(self.lag * 1000, 1), "stood_still": len(self.lags),
+                "lag_ms": {kind: round(worst * 1000, 1) for kind, (worst, _) in sorted(lags.items())},
+                "stood_still": sum(len(those) for _, those in lags.values()),
+                "stand_ins": {kind: {"processes": count, "cpu_s": round(spent, 2),
+                                     "memory_mb_most": round(held / 2**20, 1)}
+                              for kind, (count, spent, held) in sorted(standins.items())},
                 "relay_lag_ms": round(relayed.get("late_ms", 0.0), 1), **{
                     name: relayed[name] for name in ("datagrams", "lost") if name in relayed}}
 
@@ -287,6 +319,9 @@
                 process.kill()
             process.wait()
         self.nursery.close()
+        for branch in self.branches:
+            branch.end()
+        self.ports.close()
         if self.relay is not None:
             out, _ = self.relay.communicate(timeout=10)
             self.relay_counts = json.loads(out)
@@ -302,7 +337,6 @@
 
 def play(script, seed, progress=lambda seconds: None):
     """Plays a script on loopback, in real time; the stage with its ledgers."""
-    check(script)
     return asyncio.run(_play(script, seed, progress))
 
 
@@ -310,26 +344,29 @@
     ground = LoopbackGround(script, seed)
     try:
         stage = Stage(script, ground)
-        ground.ports.release()
-        stage.set_up()
         ground.stalls = stage.ledgers
+        ground.ports.release()
+        begins = ground.clock.now() + LOADED + stages.READY
+        await ground.branch_out(stage, begins)
+        stage.set_up(begins)
         with contextlib.suppress(OSError):
             os.setpriority(os.PRIO_PROCESS, 0, PRIORITY)
         ground.beat()
-        begun = time.monotonic()
-        while (passed := time.monotonic() - begun) < stage.lasts() / SECOND:
-            progress(passed)
-            await asyncio.sleep(min(0.5, max(0.01, stage.lasts() / SECOND - passed)))
+        ends = begins + int(script.seconds) + stage.tail()
+        while (left := ends - ground.clock.now()) > 0:
+            progress(stage.lasts() / SECOND - left / SECOND)
+            await asyncio.sleep(min(0.5, max(0.01, left / SECOND)))
         ground.spent = [used for process in ground.processes.values() if (used := process.used())]
         stage.stop()
         until = time.monotonic() + LAST_STOP / SECOND
         while time.monotonic() < until and not all(map(ground.dispatcher_ended, stage.dispatchers)):
             await asyncio.sleep(0.05)
+        await ground.gather_in()
         ledgers = stage.finish()
     finally:
         ground.close()
-        for task in list(ground.tasks):
-            task.cancel()
+        StandInGround.close(ground)
+    ground.merge(ledgers)
     ledgers.faults += ground.faults
     ledgers.said = ground.last_said
     stage.rig = ground
@@ -338,27 +375,30 @@
 
 def serve_fleet(script, seed, port, told):
     """Workers and discovery alone, at a port that a dispatcher of one's own is told, until interrupted."""
-    check(script)
 
     async def run():
-        ground = LoopbackGround(script, seed)
+        ports = Ports()
+        places = take_places(script, ports)
+        for n, name in enumerate(scripts.dispatcher_names(script)):
+            places.moved[name, 0] = HOST, port + n
+        ports.release()
+        every = Part(WORKERS, names=frozenset(places.workers))
+        ground = StandInGround(script, seed, places, (Part(DISCOVERY), every))
         stage = Stage(script, ground)
-        for n, name in enumerate(stage.dispatchers):
-            ground.moved[name, 0] = HOST, port + n
-        ground.ports.release()
         stage.raise_fleet()
-        for name in stage.dispatchers:
-            await stage.discovery.listen_for(name, *ground.moved[name, 0])
+        ground.discovery_up(stage.discovery, stage.dispatchers)
+        await ground.up()
         told(
             f"{len(stage.workers)} workers, discovery on "
-            + ", ".join("{}:{}".format(*ground.moved[name, 0]) for name in stage.dispatchers)
+            + ", ".join("{}:{}".format(*places.moved[name, 0]) for name in stage.dispatchers)
         )
         stage.timeline.start(stage.now(), ground._spawn)
         try:
             await asyncio.Event().wait()
         finally:
-            for place in stage.workers.values():
-                place.down()
+            stage.end_workers()
+            ground.close()
+            ports.close()
 
     try:
         asyncio.run(run())
--- a/heronwinch/rehearsal/meter.py
+++ b/heronwinch/rehearsal/meter.py
@@ -31,5 +31,12 @@
     def turned_away(self, now):
         self.refused[now // SECOND] += 1
 
+    def add(self, other):
+        """What another counted."""
+        for name in ("probes", "connections", "calls", "refused"):
+            getattr(self, name).update(getattr(other, name))
+        self.most_connections = max(self.most_connections, other.most_connections)
+        self.pushed = max(self.pushed, other.pushed)
+
     def fed(self, part):
         self.pushed = max(self.pushed, part)
--- /dev/null
+++ b/heronwinch/rehearsal/paths.py
@@ -0,0 +1,213 @@
+"""Faults on the ways between real dispatchers and the rig's own workers, at the workers' end of them.
+
+What comes in is dropped by the system before it counts (a packet filter on the sockets of the worker alone),
+so a cut is one: nothing is acknowledged, requests and connections are sent again by the system's own clock.
+What would go out is kept until the way is open again. A worker listens on all addresses of loopback and each
+dispatcher is told one of its own, so the address that was asked for says who asks.
+
+Source: filters, socket(7) SO_ATTACH_FILTER; silent ends, tcp(7) TCP_REPAIR (as root; else a reset)."""
+
+import ctypes
+import socket
+import struct
+from collections import deque
+from random import Random
+
+SO_ATTACH_FILTER, SO_DETACH_FILTER, TCP_REPAIR = 26, 27, 19
+LOAD, EQUAL, RETURN = 0x20, 0x15, 0x06  # of classic BPF: a word, jump where it is equal, the verdict
+ASKED = 0xFFF00000 + 16  # where the address that a packet is for stands: from the network header on
+ALL_OF_IT = 0xFFFFFFFF
+EVERYBODY = None  # who does not pass: all
+
+
+def address(n, lane):
+    """The one that dispatcher number n is told of every worker."""
+    return f"127.{lane}.{n // 256}.{n % 256}"
+
+
+def number(ip):
+    """The number of the dispatcher that asks there."""
+    parts = ip.split(".")
+    return int(parts[2]) * 256 + int(parts[3])
+
+
+def bar(sock, lane, numbers):
+    """Nothing more comes in on a socket from the dispatchers of those numbers; from none: all comes in."""
+    if numbers is not EVERYBODY and not numbers:
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+        except FileNotFoundError:
+            pass  # it had none
+        return
+    if numbers is EVERYBODY:
+        steps = [(RETURN, 0, 0, 0)]
+    else:
+        steps = [(LOAD, 0, 0, ASKED)]
+        for n in sorted(numbers):
+            (word,) = struct.unpack("!I", socket.inet_aton(address(n, lane)))
+            steps += [(EQUAL, 0, 1, word), (RETURN, 0, 0, 0)]
+        steps.append((RETURN, 0, 0, ALL_OF_IT))
+    program = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *step) for step in steps))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER,
+                    struct.pack("HL", len(steps), ctypes.addressof(program)))
+
+
+class Path:
+    """A worker's end of a connection, in the place of its transport."""
+
+    def __init__(self, paths, worker, transport):
+        self.paths, self.worker, self.transport = paths, worker, transport
+        self.sock = transport.get_extra_info("socket")
+        self.far = number(transport.get_extra_info("sockname")[0])
+        self.kept = deque()  # (when it may go out, bytes or what ends the connection), in order
+        self.timer = None
+        self.ended = False
+        paths.joined(self)
+
+    def write(self, data):
+        self._put(data)
+
+    def close(self):
+        self.ended = True
+        self._put(self.transport.close)
+
+    def abort(self):
+        self.ended = True
+        self._put(self.transport.abort)
+
+    def is_closing(self):
+        return self.ended or self.transport.is_closing()
+
+    def get_extra_info(self, name, default=None):
+        return self.transport.get_extra_info(name, default)
+
+    def _put(self, what):
+        self.kept.append((self.paths.loop.time() + self.paths.late(), what))
+        if self.timer is None:  # else what came before goes first
+            self.out()
+
+    def out(self):
+        """All that may go out now does. One timer for all of it: the loop's own do not keep the order of
+        what is due at one moment."""
+        self.timer = None
+        while self.kept and not self.paths.barred(self.worker, self.far):
+            due, what = self.kept[0]
+            if due > self.paths.loop.time():
+                self.timer = self.paths.loop.call_at(due, self.out)
+                return
+            self.kept.popleft()
+            if callable(what):
+                what()
+            elif not self.transport.is_closing():
+                self.transport.write(what)
+
+    def reset(self):
+        """As if something on the way had done it: both ends are told."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
+
+    def vanish(self):
+        """The machine is another one now: whoever says something more on this is told that it is unknown."""
+        try:
+            self.sock.setsockopt(socket.IPPROTO_TCP, TCP_REPAIR, 1)  # so that its end says nothing
+        except OSError:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
+
+
+class Paths:
+    """The ways to the workers of one process; `network` is the script's."""
+
+    def __init__(self, loop, lane, network, seed):
+        self.loop, self.lane, self.network = loop, lane, network
+        self.random = Random(f"{seed} paths")
+        self.cuts = {}  # key -> (workers, numbers of dispatchers)
+        self.away = set()  # workers whose machine says nothing
+        self.factor = 1.0
+        self.servers = {}  # worker -> the server that listens for it
+        self.paths = {}  # worker -> its open paths
+        self.old = {}  # worker -> (server, paths) of the life that vanished
+        self.keys = 0
+
+    # ---- what is open
+
+    def listens(self, worker, server):
+        self.servers[worker] = server
+        self._bar(worker)
+
+    def joined(self, path):
+        self.paths.setdefault(path.worker, {})[path] = None
+        self._bar_one(path.sock, path.worker)
+
+    def left(self, path):
+        self.paths.get(path.worker, {}).pop(path, None)
+        self.old.get(path.worker, (None, {}))[1].pop(path, None)
+
+    def barred(self, worker, far):
+        return worker in self.away or any(worker in some and far in others
+                                          for some, others in self.cuts.values())
+
+    def _who(self, worker):
+        if worker in self.away:
+            return EVERYBODY
+        return frozenset().union(*(others for some, others in self.cuts.values() if worker in some))
+
+    def _bar_one(self, sock, worker):
+        bar(sock, self.lane, self._who(worker))
+
+    def _bar(self, worker):
+        """What is barred has changed."""
+        server = self.servers.get(worker)
+        for sock in server.sockets() if server is not None else ():
+            self._bar_one(sock, worker)
+        for path in list(self.paths.get(worker, ())):
+            if path.sock.fileno() >= 0:
+                self._bar_one(path.sock, worker)
+            if not self.barred(worker, path.far):
+                path.out()
+
+    # ---- faults
+
+    def cut(self, workers, numbers):
+        self.keys += 1
+        self.cuts[self.keys] = frozenset(workers), frozenset(numbers)
+        for worker in workers:
+            self._bar(worker)
+        return self.keys
+
+    def heal(self, key):
+        workers, _ = self.cuts.pop(key)
+        for worker in workers:
+            self._bar(worker)
+
+    def vanish(self, worker):
+        self.away.add(worker)
+        self._bar(worker)
+
+    def quietly(self, worker):
+        """Its process has ended with its machine: nobody is told. What it had stays barred until `back`."""
+        self.old[worker] = self.servers.pop(worker, None), self.paths.pop(worker, {})
+
+    def back(self, worker):
+        self.away.discard(worker)
+        server, paths = self.old.pop(worker, (None, {}))
+        for path in list(paths):
+            path.vanish()
+        if server is not None:
+            server.stop()
+        self._bar(worker)
+
+    def slower(self, factor):
+        self.factor *= factor
+
+    def late(self):
+        """Seconds that what goes out takes more than usual: for both ways, as a trip is what is measured."""
+        if self.factor <= 1.0:
+            return 0.0
+        ways = 2 * (self.factor - 1.0)
+        return ways * (self.network.delay + self.network.jitter * self.random.random()) / 1e9
+
+    def reset_one(self, worker):
+        paths = list(self.paths.get(worker, ()))
+        if paths:
+            self.random.choice(paths).reset()
--- a/heronwinch/rehearsal/script.py
+++ b/heronwinch/rehearsal/script.py
@@ -159,7 +159,6 @@
     strikes: str  # workers, dispatchers, both or nobody
     needs: tuple[str, ...]
     may: tuple[str, ...] = ()
-    loopback: bool = True  # whether it can be played on real sockets
     says: str = ""
 
 
@@ -173,7 +172,7 @@
     "pause": Told("workers", ("lasts",), says="stands still, process and all"),
     "crowd": Told("workers", ("lasts", "factor"), says="another program leaves it this part of its speed"),
     "crash": Told("workers", (), ("lasts",), says="dies, and is back cold after that long, or stays down"),
-    "vanish": Told("workers", ("lasts",), (), False, "its machine says nothing; back cold after that long"),
+    "vanish": Told("workers", ("lasts",), says="its machine says nothing; back cold after that long"),
     "drain": Told("workers", ("lasts",), says="is said to leave, leaves at the end, comes back as a new one"),
     "shrink": Told("workers", (), says="is said to leave, leaves after the grace, stays away"),
     "list-outage": Told("", ("lasts",), says="discovery answers nothing"),
@@ -184,9 +183,9 @@
     "hold": Told("dispatchers", ("lasts",), says="its process stands still"),
     "part": Told("sides", ("lasts",), ("way", "areas"), says="they and the other dispatchers hear nothing"),
     "loss": Told("", ("lasts", "share"), ("twice", "by"), says="this share of datagrams is lost"),
-    "cut": Told("both", ("lasts",), (), False, "nothing passes between these workers and dispatchers"),
-    "slow-net": Told("", ("lasts", "factor"), (), False, "delays on the network are so many times as long"),
-    "resets": Told("", ("lasts", "rate"), (), False, "so many connections a second are reset on the way"),
+    "cut": Told("both", ("lasts",), says="nothing passes between these workers and dispatchers"),
+    "slow-net": Told("", ("lasts", "factor"), says="delays on the network are so many times as long"),
+    "resets": Told("", ("lasts", "rate"), says="so many connections a second are reset on the way"),
     "shift": Told("", ("area", "share"), ("lasts",), says="this part of all work comes to one area instead"),
     "burst": Told("", ("lasts", "factor"), says="so many times as much work comes"),
     "rude": Told("", ("lasts", "rate"), says="so many bad clients a second"),
--- a/heronwinch/rehearsal/stage.py
+++ b/heronwinch/rehearsal/stage.py
@@ -96,8 +96,13 @@
         if not self.is_up or self.stays_down:
             return
         now = self.stage.now()
-        self.stays_down = True
         self.stage.ledgers.fallen.append((now, self.name, self.model.taken_work, now - self.model.born))
+        self.stage.ground.worker_fell(self.name)
+        self.fell_elsewhere()
+
+    def fell_elsewhere(self):
+        """It fell over, as another process of the rig may have seen."""
+        self.stays_down = True
         self.down()
         self.stage.after(NOTICED, self.stage.gone, self)
 
@@ -124,7 +129,7 @@
             "discovery": "{}:{}".format(*self.discovery),
             "seed": f"{stage.random('dispatcher', self.name, self.lives).getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": own.memory_mb, "sockets": own.sockets},
-            "known": stage.roster.whole(stage.now()),
+            "known": stage.ground.seen_by(self.name, stage.roster.whole(stage.now())),
             "settings": scripts.settings(stage.script, self.name),
             **({"fleet": self.fleet()} if own.view else {}),
         }
@@ -144,7 +149,7 @@
         if self.spell is not None:
             self.spell.ends = self.stage.now() + SECOND // 2  # clients meet what is left of it
             self.spell = None
-        self.stage.ground.dispatcher_up(self.name, self.tree())
+        self.stage.ground.dispatcher_up(self.name, self.tree)
 
     def dies(self):
         self.stage.ledgers.deaths.setdefault(self.name, []).append(self.stage.now())
@@ -165,7 +170,7 @@
 
     def reload(self):
         if self.is_up:
-            self.stage.ground.dispatcher_signal(self.name, signal.SIGHUP, self.tree())
+            self.stage.ground.dispatcher_signal(self.name, signal.SIGHUP, self.tree)
 
 
 class Stage:
@@ -201,7 +206,7 @@
             self.ledgers.meter,
         )  # fmt: skip
         self.arrivals = []
-        self.started = 0
+        self.begins = 0
 
     def now(self):
         return self.ground.clock.now()
@@ -225,19 +230,20 @@
     # ---- the course of a run
 
     def raise_fleet(self):
-        self.started = self.now()
         for place in self.workers.values():
             place.up(0)
         self.roster.install([place.entry() for place in self.workers.values()])
 
-    def set_up(self):
+    def set_up(self, begins=None):
+        """`begins`: when traffic does, where others play the run too."""
         self.raise_fleet()
+        self.begins = self.now() + READY if begins is None else begins
         self.ground.discovery_up(self.discovery, self.dispatchers)
         for place in self.dispatchers.values():
             place.discovery = self.ground.discovery_address(place.name, 0)
             self.front.add(place.name, place.address, self._weight(place.name))
             place.up()
-        self.ground.clients_up(self._play)
+        self.ground.clients_up(self._play, self._begin, self.begins)
 
     def _weight(self, name):
         """How much of the traffic comes to a dispatcher, where it is uneven: lognormal."""
@@ -255,17 +261,23 @@
         """The clients' process."""
         self.clients.start()
         self.front.start()
-        while len(self.front.taken_in) < len(self.dispatchers) and self.now() < self.started + READY:
+        while len(self.front.taken_in) < len(self.dispatchers) and self.now() < self.begins:
             await sleep(0.01)
-        begins = self.started + READY
+        begins = self.begins
         await sleep((begins - self.now()) / SECOND)
-        self.ledgers.begins = begins
         ends = begins + int(self.script.seconds)
+        shares = self.ground.shares()
         for i, flow in enumerate(scripts.flows(self.script)):
+            flow = flow._replace(rate=flow.rate / shares)
             arrivals = Arrivals(flow, self.kinds[flow.category], self.random("flow", i), begins, ends)
             self.arrivals.append(arrivals)
             spawn(self.clients.play(arrivals))
-        self.timeline.start(begins, spawn)
+        self._begin(spawn)
+
+    def _begin(self, spawn):
+        """Traffic begins."""
+        self.ledgers.begins = self.begins
+        self.timeline.start(self.begins, spawn)
 
     def stop(self):
         """The end of a run: every dispatcher is asked to stop, and has LAST_STOP for it."""
@@ -273,9 +285,17 @@
         for place in self.dispatchers.values():
             place.stop()
 
-    def finish(self):
+    def end_workers(self):
         for place in self.workers.values():
             place.down()
+
+    def fell_elsewhere(self, name):
+        place = self.workers[name]
+        if place.is_up and not place.stays_down:
+            place.fell_elsewhere()
+
+    def finish(self):
+        self.end_workers()
         self.ledgers.told = self.roster.told
         for place in self.dispatchers.values():
             if place.is_up and not self.ground.dispatcher_ended(place.name):
--- a/heronwinch/rehearsal/standins/clients.py
+++ b/heronwinch/rehearsal/standins/clients.py
@@ -318,7 +318,8 @@
 
     def leave(self, dispatcher, after):
         """It has died or is about to stop: left out so many seconds later, and asked again from then on."""
-        self.loop.call_later(after, self._out, dispatcher)
+        if self.loop is not None:  # else its clients are another process's
+            self.loop.call_later(after, self._out, dispatcher)
 
     def _out(self, dispatcher):
         if dispatcher in self.taken_in:
--- a/heronwinch/rehearsal/standins/http.py
+++ b/heronwinch/rehearsal/standins/http.py
@@ -74,7 +74,7 @@
         self.began = 0  # when the first byte of the present request came
 
     def connection_made(self, transport):
-        self.transport = transport
+        transport = self.transport = self.server.carried(transport)
         self.server.accepted += 1
         if len(self.server.connections) >= self.server.most:
             transport.abort()
@@ -128,6 +128,7 @@
     def connection_lost(self, fault):
         self.server.connections.pop(self, None)
         self._gone()
+        self.server.lost(self.transport)
         self.transport = None
 
     def _gone(self):
@@ -154,6 +155,7 @@
         self.unreadable = 0
         self.servers = []
         self.loop = None
+        self.ended = False  # its process has, or will as soon as it is up
 
     async def listen(self, host="127.0.0.1", port=0):
         self.loop = asyncio.get_running_loop()
@@ -172,11 +174,25 @@
                 connection.transport.close()
         self.loop.call_later(self.idle / 4e9, self._sweep)
 
-    def die(self):
-        """As a process that is killed: its connections are reset, new ones refused."""
+    def carried(self, transport):
+        """What a connection writes to: another than its transport where the way has faults of its own."""
+        return transport
+
+    def lost(self, transport):
+        """A connection has ended."""
+
+    def sockets(self):
+        return [sock for server in self.servers for sock in server.sockets]
+
+    def stop(self):
+        """New connections are refused."""
         servers, self.servers = self.servers, []
         for server in servers:
             server.close()
+
+    def die(self):
+        """As a process that is killed: its connections are reset, new ones refused."""
+        self.stop()
         for connection in list(self.connections):
             connection.abort()
 
--- a/heronwinch/rehearsal/troubles.py
+++ b/heronwinch/rehearsal/troubles.py
@@ -325,4 +325,4 @@
     def _rude(self, trouble, random):
         stage = self.stage
         until = stage.now() + int(trouble.lasts)
-        stage.ground.within_clients(lambda: self.spawn(stage.rude.play(trouble.rate, until)))
+        stage.ground.within_clients(lambda: self.spawn(stage.rude.play(trouble.rate, until)), False)
--- a/heronwinch/rehearsal/virtual.py
+++ b/heronwinch/rehearsal/virtual.py
@@ -94,6 +94,15 @@
 
         process.start(main)
 
+    def worker_fell(self, name):
+        pass  # its place knows
+
+    def seen_by(self, dispatcher, tree):
+        return tree
+
+    def shares(self):
+        return 1
+
     def worker_down(self, name, server, quietly):
         self.processes[name].kill(quietly)
 
@@ -118,7 +127,7 @@
     def within_discovery(self, act):
         self.kernel.within(self.processes["discovery"], act)
 
-    def clients_up(self, play):
+    def clients_up(self, play, begin, begins):
         process = self._process("clients", CLIENTS)
 
         async def main():
@@ -127,7 +136,7 @@
 
         process.start(main)
 
-    def within_clients(self, act):
+    def within_clients(self, act, all_of_them=True):
         self.kernel.within(self.processes["clients"], act)
 
     # ---- dispatchers
@@ -135,7 +144,7 @@
     def dispatcher_up(self, name, tree):
         self._collect(name)
         process = self._process(name, self.ips[name], self.script.dispatchers.sockets)
-        process.files.install("config.json", json.dumps(tree).encode())
+        process.files.install("config.json", json.dumps(tree()).encode())
         record = Record(name)
         self.records.append(record)
         number = DECISIONS + len(self.records)
@@ -181,7 +190,7 @@
     def dispatcher_signal(self, name, number, tree=None):
         process = self.processes[name]
         if tree is not None:
-            process.files.install("config.json", json.dumps(tree).encode())
+            process.files.install("config.json", json.dumps(tree()).encode())
         process.signal(number)
 
     def dispatcher_ended(self, name):
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -606,8 +606,3 @@
     assert real["wanted"] == virtual["wanted"] and real["credit"] == pytest.approx(
         virtual["credit"], abs=0.08
     )
-
-
-def test_what_sockets_cannot_be_given_is_refused():
-    with pytest.raises(loopback.Unplayable, match="virtual time only"):
-        loopback.play(parse(SCRIPT + trouble("cut", lasts="1s", count=1)), 1)
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -7,6 +7,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -19,7 +20,9 @@
 from heronwinch.interface import SECOND
 from heronwinch.plan import PlanError, read_plan
 from heronwinch.policy import Dispatcher
-from heronwinch.rehearsal import loopback
+from heronwinch.rehearsal import branch, loopback, paths
+from heronwinch.rehearsal import script as scripts
+from heronwinch.rehearsal import stage as stages
 from heronwinch.rehearsal.account import account
 from heronwinch.rehearsal.script import ScriptError, parse, read_script, write_script
 from heronwinch.rehearsal.virtual import rehearse
@@ -107,16 +110,134 @@
         return found[1:]
 
     until = time.monotonic() + 30
-    while len(born := descendants()) < 8 and time.monotonic() < until:
+    while len(born := descendants()) < 11 and time.monotonic() < until:
         time.sleep(0.1)
     rig.send_signal(signal.SIGKILL)
     rig.wait()
-    assert len(born) == 8  # six dispatchers, what they come from, and the relay
+    assert len(born) == 11  # six dispatchers, what they come from, the relay, stand-ins in three
     while any(os.path.exists(f"/proc/{pid}") for pid in born) and time.monotonic() < until + 10:
         time.sleep(0.1)
     assert not [pid for pid in born if os.path.exists(f"/proc/{pid}")]
 
 
+AREAS = SCRIPT.replace("[fleet]", "[dispatchers]\ncount = 4\n[fleet]\nareas = [\"n\", \"s\"]")
+WAYS = parse("".join((
+    AREAS.replace('"6s"', '"12s"'), trouble("cut", at="1s", lasts="1500ms", share=1.0),
+    trouble("cut", at="4s", lasts="1500ms", area="s"), trouble("vanish", at="7s", lasts="1500ms", count=1),
+    trouble("resets", at="10s", lasts="1s", rate=30.0),
+    trouble("slow-net", at="10s", lasts="1s", factor=20.0))))
+
+
+@pytest.mark.parametrize("ground", ["real", "virtual"])
+@pytest.mark.xdist_group("rig")
+def test_ways_to_workers_are_cut_and_healed(ground):
+    """Nothing comes through a cut on either ground, and what was on the way is no rule broken."""
+    stage = loopback.play(WAYS, 1) if ground == "real" else rehearse(WAYS, 1, Dispatcher)[0]
+    tree, breaches, _ = judged(stage, WAYS)
+    ledgers = stage.ledgers
+    assert not breaches, breaches[:3]
+    marks = {trouble.what + trouble.area: (begins, ends) for begins, ends, trouble in ledgers.marks}
+    asked = {ask.id: int(ask.dispatcher[1:]) for ask in ledgers.asks}
+    vanished = {spell.target for spell in ledgers.spells if spell.what == "vanished"}
+    came = dict.fromkeys(("cut", "cuts", "vanish", "before"), 0)
+    for run in ledgers.runs:
+        came["before"] += run.first_byte < marks["cut"][0]
+        for what, (begins, ends) in marks.items():
+            if begins + SECOND // 10 < run.first_byte < ends - SECOND // 10:
+                came[what] = came.get(what, 0) + (
+                    what == "cut" or what == "cuts" and (int(run.worker[1:]) ^ asked[run.job.id]) % 2
+                    or what == "vanish" and run.worker in vanished)
+    assert came["before"] and not came["cut"] and not came["cuts"] and not came["vanish"], came
+    assert ledgers.asks and tree["credit"] > 0.5
+
+
+def test_all_processes_of_a_rig_know_of_a_worker_that_fell(monkeypatch):
+    """What one process of stand-ins alone has seen; discovery, another one, leaves it out of the list."""
+    monkeypatch.setattr(stages, "NOTICED", SECOND // 100)
+    script, told = parse(SCRIPT), []
+
+    async def scene():
+        ports = loopback.Ports()
+        places = loopback.take_places(script, ports)
+        raised = []
+        for part in branch.parts(script):
+            ground = branch.StandInGround(script, 1, places, (part,), lambda *news: told.append(news))
+            raised.append((part.kind, stages.Stage(script, ground)))
+            raised[-1][1].raise_fleet()
+            await ground.up()
+        raised = dict(raised)
+        raised["workers"].workers["w0"].fell()
+        assert told == [("fell", "w0")]
+        for stage in raised.values():
+            stage.fell_elsewhere("w0")
+        await asyncio.sleep(0.2)
+        for kind, stage in raised.items():
+            assert not stage.workers["w0"].is_up and stage.workers["w1"].is_up
+            assert bool(stage.ledgers.fallen) is (kind == "workers")
+            stage.revive(stage.workers["w0"])
+            assert not stage.workers["w0"].is_up
+        roster = raised["discovery"].roster
+        assert [entry["host"] for entry in roster.whole(raised["discovery"].now())["hosts"]] == [
+            "w1", "w2", "w3"]
+        for stage in raised.values():
+            stage.end_workers()
+            stage.ground.close()
+        ports.close()
+
+    asyncio.run(scene())
+    assert told == [("fell", "w0")]
+
+
+def test_a_barred_socket_is_barred_for_those_who_are_named():
+    with socket.create_server(("0.0.0.0", 0)) as listening:
+        port = listening.getsockname()[1]
+        paths.bar(listening, 180, {1, 300})
+        near = socket.create_connection((paths.address(2, 180), port), 5)
+        with pytest.raises(TimeoutError):
+            socket.create_connection((paths.address(300, 180), port), 0.3)
+        far, _ = listening.accept()
+        assert paths.number(far.getsockname()[0]) == 2
+        paths.bar(far, 180, paths.EVERYBODY)
+        near.send(b"held")
+        far.settimeout(0.3)
+        with pytest.raises(TimeoutError):
+            far.recv(9)
+        for sock in (listening, far):
+            paths.bar(sock, 180, ())
+            paths.bar(sock, 180, ())
+        far.settimeout(10)
+        assert far.recv(9) == b"held"
+        socket.create_connection((paths.address(300, 180), port), 5).close()
+        near.close()
+        far.close()
+
+
+def test_workers_that_share_marks_are_in_one_process():
+    base = SCRIPT + """
+[[categories]]
+name = "paid"
+effect = "ticketed"
+group = "GROUP"
+window = "5s"
+[[traffic]]
+category = "paid"
+rate = 900.0
+"""
+    for group, together in (("all", lambda shape: 0), ("area", lambda shape: shape.area),
+                            ("pod", lambda shape: shape.pod)):
+        script = parse(base.replace("GROUP", group).replace(
+            "[fleet]\nworkers = 3", "[fleet]\nworkers = 24\npods = 6\nareas = [\"n\", \"s\"]"))
+        shapes = scripts.shapes(script)
+        held = [part.names for part in branch.parts(script) if part.kind == branch.WORKERS]
+        assert sorted(name for names in held for name in names) == sorted(shapes)
+        owners = {}
+        for i, names in enumerate(held):
+            for name in names:
+                owners.setdefault(together(shapes[name]), set()).add(i)
+        assert all(len(those) == 1 for those in owners.values())
+        assert len(held) == min(len(owners), 4), group
+
+
 def test_a_dispatcher_that_counts_itself_alone_breaks_the_whole(monkeypatch):
     """The judge sees parts that add up: each side of a cut taking the other for dead."""
     from heronwinch.fleet import parts
