Rig: power lost and back in waves, short processor, no descriptors, slow starts, kills while held

Troubles `power` (all and discovery, or an area; back in waves, discovery later; lost again before it is back), `starve` (a part of its processor, in turns of 100 ms), `descriptors` (nothing more can be opened), and `by` of `kill` (slow to start) play on real processes and on the virtual ground alike.

--- a/heronwinch/rehearsal/branch.py
+++ b/heronwinch/rehearsal/branch.py
@@ -281,6 +281,9 @@
     def hold(self, name, on):
         pass
 
+    def no_descriptors(self, name):
+        return lambda: None
+
     def bar(self, some, others):
         pass
 
--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -10,6 +10,7 @@
 import os
 import pickle
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -33,6 +34,7 @@
 LANE = 1 + 2 * (os.getpid() % LANES)  # and the one after it, of dispatchers among themselves
 MOST_LOG = 4_000_000  # bytes read of what a dispatcher logged
 LOADED = SECOND  # that the processes of stand-ins have to come up in
+STANDARD = 3  # descriptors that a process has from its start
 HANDED_OVER = 60  # seconds that they have to hand over their ledgers
 PAIR = re.compile(r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)')  # of structlog's logfmt
 SIGNS = (*FAULTS, "Traceback")  # of a fault, in the lines of a log
@@ -225,6 +227,17 @@
         if self.processes[name].poll() is None:
             self.processes[name].send_signal(signal.SIGSTOP if on else signal.SIGCONT)
 
+    def no_descriptors(self, name):
+        """Gives what ends it."""
+        process = self.processes[name]
+        before = process.limit(resource.RLIMIT_NOFILE, STANDARD)
+
+        def end():
+            if before is not None:
+                process.limit(resource.RLIMIT_NOFILE, before)
+
+        return end
+
     # ---- between dispatchers
 
     def fleet_address(self, name):
--- a/heronwinch/rehearsal/nursery.py
+++ b/heronwinch/rehearsal/nursery.py
@@ -11,6 +11,7 @@
 import gc
 import json
 import os
+import resource
 import select
 import signal
 import socket
@@ -73,6 +74,17 @@
     def kill(self):
         self.send_signal(signal.SIGKILL)
 
+    def limit(self, what, soft):
+        """Sets a soft limit of it (resource.RLIMIT_...); what it was, None where it has ended."""
+        if self.poll() is not None:
+            return None
+        try:
+            before, hard = resource.prlimit(self.pid, what)
+            resource.prlimit(self.pid, what, (soft, hard))
+        except ProcessLookupError:
+            return None
+        return before
+
     def used(self):
         """(seconds of processor time, bytes of memory) up to now; None where it has ended."""
         try:
--- a/heronwinch/rehearsal/script.py
+++ b/heronwinch/rehearsal/script.py
@@ -178,9 +178,13 @@
     "list-outage": Told("", ("lasts",), says="discovery answers nothing"),
     "list-lag": Told("", ("lasts", "by"), says="changes of the list are seen so much later"),
     "list-move": Told("dispatchers", (), says="discovery is elsewhere, told by SIGHUP"),
-    "kill": Told("dispatchers", ("lasts",), says="is killed and started again after that long"),
+    "kill": Told("dispatchers", ("lasts",), ("by",), says="is killed, back after that long, slow by `by`"),
     "stop": Told("dispatchers", ("lasts",), says="is stopped in order and started again after that long"),
     "hold": Told("dispatchers", ("lasts",), says="its process stands still"),
+    "starve": Told("dispatchers", ("lasts", "factor"), says="it has this part of its processor, in turns"),
+    "descriptors": Told("dispatchers", ("lasts",), says="it can open nothing more"),
+    "power": Told("", ("lasts",), ("area", "waves", "every", "by"),
+                  "an area, or all and discovery, have no power; back in waves, discovery `by` later"),
     "part": Told("sides", ("lasts",), ("way", "areas"), says="they and the other dispatchers hear nothing"),
     "loss": Told("", ("lasts", "share"), ("twice", "by"), says="this share of datagrams is lost"),
     "cut": Told("both", ("lasts",), says="nothing passes between these workers and dispatchers"),
@@ -391,8 +395,10 @@
     for word in told.needs:
         if not getattr(trouble, word):
             yield f"{at}.{word}", f"{trouble.what} needs {word}"
-    if trouble.what == "crowd" and trouble.factor > 1:
-        yield f"{at}.factor", "crowd leaves a part of the speed, 0 to 1"
+    if trouble.what in ("crowd", "starve") and trouble.factor > 1:
+        yield f"{at}.factor", f"{trouble.what} leaves a part of the speed, 0 to 1"
+    if trouble.what == "power" and trouble.area and trouble.by:
+        yield f"{at}.by", "discovery keeps its power where an area loses it; take by out"
     names, listed, word = (
         (dispatchers, trouble.dispatchers, "dispatchers")
         if told.strikes in ("dispatchers", "sides")
--- a/heronwinch/rehearsal/stage.py
+++ b/heronwinch/rehearsal/stage.py
@@ -315,6 +315,6 @@
             self.list_as(place, "terminated")
 
     def revive(self, place):
-        if not place.is_up and not place.stays_down:
+        if not place.is_up and not place.stays_down and not self.timeline.is_dark(place.name):
             place.up(self.now())
             self.list_as(place, "in_service")
--- a/heronwinch/rehearsal/troubles.py
+++ b/heronwinch/rehearsal/troubles.py
@@ -3,6 +3,8 @@
 from heronwinch.interface import SECOND
 from heronwinch.rehearsal import script as scripts
 
+RUNG = SECOND // 1000  # that a timer may ring early
+TURN = SECOND // 10  # in which a process that is short of its processor runs once
 AFTER_GRACE = SECOND  # beyond the grace at which a worker that shrinks away ends
 
 
@@ -11,6 +13,7 @@
         self.stage = stage
         self.begun = 0  # when the trouble at hand began
         self.acting = {}  # worker -> what a new life of it suffers from its start
+        self.dark = {}  # worker or dispatcher -> when it has power again
 
     def start(self, begins, spawn):
         self.spawn = spawn
@@ -102,20 +105,15 @@
 
         self._later(trouble.lasts, end)
 
-    def _crash(self, trouble, place, quietly=False):
-        place.down(quietly)
+    def _crash(self, trouble, place):
+        place.down()
         self._later(2 * SECOND, self.stage.gone, place)
         if trouble.lasts:
             self._later(trouble.lasts, self.stage.revive, place)
 
     def _vanish(self, trouble, place):
-        if not place.is_up:
-            return
-        self.stage.ground.vanish(place.name)
-        spell = self.stage.ledgers.begin("vanished", place.name, self.stage.now())
-        spell.ends = self.stage.now() + int(trouble.lasts) + SECOND
-        self._crash(trouble, place, quietly=True)
-        self._later(int(trouble.lasts) - 1, self.stage.ground.back, place.name)
+        if place.is_up:
+            self._darken(place.name, int(trouble.lasts))
 
     def _drain(self, trouble, place):
         """Told to leave, it goes on with what it has; at the end of it all it is back as a new one."""
@@ -148,6 +146,9 @@
     # ---- discovery
 
     def _list_outage(self, trouble, random):
+        self._discovery_out(trouble.lasts)
+
+    def _discovery_out(self, lasts):
         stage = self.stage
         stage.roster.failing += 1
         stage.ground.within_discovery(stage.discovery.outage)
@@ -155,7 +156,7 @@
         def end():
             stage.roster.failing -= 1
 
-        self._later(trouble.lasts, end)
+        self._later(lasts, end)
 
     def _list_lag(self, trouble, random):
         roster = self.stage.roster
@@ -181,12 +182,61 @@
 
     def _kill(self, trouble, place):
         place.kill()
-        self._later(trouble.lasts, self._again, place)
+        self._later(trouble.lasts, self._again, place, trouble.by)
 
-    def _again(self, place):
-        if not place.is_up:
-            place.up()
-            self.stage.ground.within_clients(lambda: self.stage.front.watch(place.name))
+    def _again(self, place, slowly=0):
+        """`slowly`: so long it takes to come up."""
+        if place.is_up or self.is_dark(place.name):
+            return
+        place.up()
+        if slowly:
+            self._stand_still("held", place, slowly)
+        self.stage.ground.within_clients(lambda: self.stage.front.watch(place.name))
+
+    # ---- power
+
+    def is_dark(self, name):
+        return self.dark.get(name, 0) > self.stage.now() + RUNG
+
+    def _power(self, trouble, random):
+        """All at once, and back in waves that are drawn."""
+        stage = self.stage
+        struck = [*stage.workers, *stage.dispatchers]
+        if trouble.area:
+            struck, _ = self._sides(struck, trouble.area)
+        else:
+            self._discovery_out(int(trouble.lasts) + int(trouble.by))
+        random.shuffle(struck)
+        waves = max(1, trouble.waves)
+        for i in range(waves):
+            for name in struck[len(struck) * i // waves : len(struck) * (i + 1) // waves]:
+                self._darken(name, int(trouble.lasts) + i * int(trouble.every))
+
+    def _darken(self, name, lasts):
+        """Nobody says goodbye: a dispatcher is killed, a worker's machine is silent. Who is struck again in
+        the dark is back with the later one."""
+        stage, now = self.stage, self.stage.now()
+        self.dark[name] = max(self.dark.get(name, 0), now + lasts)
+        if name in stage.dispatchers:
+            stage.dispatchers[name].kill()
+        else:
+            place = stage.workers[name]
+            spell = stage.ledgers.begin("vanished", name, now)
+            spell.ends = now + lasts + SECOND
+            if place.is_up:
+                stage.ground.vanish(name)
+                place.down(quietly=True)
+                self._later(2 * SECOND, stage.gone, place)
+        self._later(lasts, self._lighten, name)
+
+    def _lighten(self, name):
+        if self.is_dark(name):
+            return
+        if name in self.stage.dispatchers:
+            self._again(self.stage.dispatchers[name])
+        else:
+            self.stage.ground.back(name)
+            self.stage.revive(self.stage.workers[name])
 
     def _stop(self, trouble, place):
         """An orderly stop; what it has not answered by 0.7 s past the longest stop is its own fault."""
@@ -203,22 +253,47 @@
                 if stage.ledgers.excuse(place.name, told, stage.now()) is None:
                     stage.ledgers.faults.append((place.name, "did not end after SIGTERM"))
                 place.kill()
-            place.up()
-            stage.ground.within_clients(lambda: stage.front.watch(place.name))
+            self._again(place)
 
         self._later(max(int(trouble.lasts), 4 * SECOND), over)
 
     def _hold(self, trouble, place):
+        if place.is_up:
+            self._stand_still("held", place, trouble.lasts)
+
+    def _stand_still(self, what, place, lasts):
         stage = self.stage
-        if not place.is_up:
-            return
-        spell = stage.ledgers.begin("held", place.name, stage.now())
+        spell = stage.ledgers.begin(what, place.name, stage.now())
         stage.ground.hold(place.name, True)
 
         def end():
             stage.ground.hold(place.name, False)
             spell.ends = stage.now() + SECOND // 10
 
+        self._later(lasts, end)
+
+    def _starve(self, trouble, place):
+        stage, ends = self.stage, self.stage.now() + int(trouble.lasts)
+
+        def turn():
+            if stage.now() < ends:
+                if place.is_up:
+                    self._stand_still("starved", place, TURN * (1 - trouble.factor))
+                self._later(TURN, turn)
+
+        turn()
+
+    def _descriptors(self, trouble, place):
+        stage = self.stage
+        if not place.is_up:
+            return
+        spell = stage.ledgers.begin("without descriptors", place.name, stage.now())
+        end_of_it = stage.ground.no_descriptors(place.name)
+
+        def end():
+            end_of_it()
+            spell.ends = stage.now() + SECOND  # what waits in the listen queue is let in late
+
         self._later(trouble.lasts, end)
 
     # ---- the network
--- a/heronwinch/rehearsal/views.py
+++ b/heronwinch/rehearsal/views.py
@@ -6,6 +6,7 @@
 from heronwinch.interface import SECOND
 
 EVENTS = ("view", "view_parts", "view_sum", "member_gone", "name_taken")
+LIVES_ON = ("hold", "loss", "starve", "descriptors")  # troubles whose beginning changes no view
 BACK = 8 * SECOND  # a call of 'gone' may rest on what was so long ago
 STRUCK = SECOND // 10  # that a trouble takes to strike all whom it strikes
 ROUNDED = 1e-6  # that parts may add up to beyond the whole
@@ -104,12 +105,12 @@
         where they did not before the next change)."""
         moments = [(self.ledgers.begins, "start", "")]
         for begins, ends, trouble in self.ledgers.marks:
-            if trouble.what in ("hold", "part", "kill", "stop", "loss"):
+            if trouble.what in (*LIVES_ON, "part", "kill", "stop", "power"):
                 moments += [(begins, trouble.what, "begins"), (ends, trouble.what, "ends")]
         moments = sorted(moment for moment in moments if moment[0] < self.end)
         for i, (at, what, phase) in enumerate(moments):
             until = moments[i + 1][0] if i + 1 < len(moments) else self.end
-            if phase == "begins" and what in ("hold", "loss") or self._groups(at) is None:
+            if phase == "begins" and what in (*LIVES_ON, "power") or self._groups(at) is None:
                 continue
             looks = [at + STRUCK, *self.views.times(at + STRUCK, until)]
             took = next((when - at for when in looks if self.agree(when)), None)
--- a/heronwinch/rehearsal/virtual.py
+++ b/heronwinch/rehearsal/virtual.py
@@ -200,6 +200,15 @@
         process = self.processes[name]
         process.pause() if on else process.resume()
 
+    def no_descriptors(self, name):
+        process = self.processes[name]
+        before, process.limit = process.limit, 0
+
+        def end():
+            process.limit = before
+
+        return end
+
     # ---- the network
 
     def vanish(self, name):
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -38,6 +38,13 @@
     "restarted, lost": (15, trouble(
         "stop", at="500ms", lasts="4s", share=0.5, waves=3, every="500ms") + trouble(
             "loss", at="7s", lasts="4s", share=0.3, twice=0.2, by="50ms")),
+    "killed while held, slow to start": (14, trouble("hold", at="500ms", lasts="6s", count=2) + trouble(
+        "kill", at="2s", lasts="1s", by="2s", share=0.5)),
+    "short of processor and descriptors": (15, trouble(
+        "starve", at="500ms", lasts="5s", count=1, factor=0.05) + trouble(
+            "descriptors", at="7s", lasts="3s", count=2)),
+    "no power, and again": (19, trouble("power", at="1s", lasts="2s", waves=3, every="1s", by="1s") + trouble(
+        "power", at="4500ms", lasts="2s") + trouble("power", at="12s", lasts="2s", area="s")),
 }
 
 
@@ -426,6 +433,32 @@
     real_stage(scene, **{"limits.peers": True})
 
 
+@pytest.mark.xdist_group("rig")
+def test_of_two_real_processes_of_one_name_one_serves_and_the_other_says_so_once(real_stage):
+    async def scene(stage):
+        one, two, fleet = addresses()
+        stage.process.terminate()
+        await stage.process.communicate()
+        await stage.start(fleet=fleet)
+        twins = [await another(stage, fleet, one, two)]
+        async with asyncio.timeout(20):
+            while " serving 2 " not in await stage.call(b"view\n"):
+                await asyncio.sleep(0.1)
+        twins.append(await another(stage, fleet, one, free_address()))
+        logged = b""
+        try:
+            await asyncio.sleep(8)
+            line = await stage.call(b"view\n")
+            assert " serving 2 " in line and " gone 0 " in line, line
+        finally:
+            for process in twins:
+                process.kill()
+                logged += (await process.communicate())[1]
+        assert logged.count(b"event=name_taken") == 1, logged
+
+    real_stage(scene, **{"limits.peers": True})
+
+
 @pytest.mark.xdist_group("rig")
 def test_a_process_that_is_replaced_is_one_member_throughout(held):
     async def scene(stage, platform):
