Ledger: what may not run twice is written down, taken up after a loss of power, asked of others

Need: after a loss of power a ticketed or exclusive work item that may have run was known to nobody.

Policy: Remembered, Returning (come-back times spread), Arrived.unclear. Off without the section.

--- a/heronwinch/fleet/messages.py
+++ b/heronwinch/fleet/messages.py
@@ -80,12 +80,44 @@
     rows: Annotated[list[Row], msgspec.Meta(max_length=MOST_ROWS)] = []
 
 
+Key = Annotated[bytes, msgspec.Meta(min_length=12, max_length=12)]
+Age = Annotated[int, msgspec.Meta(ge=0, lt=1 << 62)]  # nanoseconds: clocks differ
+MOST_KEYS = 10  # so that what is known of each fits into the datagram that answers
+
+
+class Know(Said, tag=7):
+    """What is known of these keys of clients?"""
+
+    keys: Annotated[list[Key], msgspec.Meta(max_length=MOST_KEYS)]
+    rows: Rows = []
+
+
+class Mark(msgspec.Struct, array_like=True, frozen=True):
+    """A key that is known: it may have run in that area and pod, first so long ago; or it is open."""
+
+    index: Annotated[int, msgspec.Meta(ge=0, lt=MOST_KEYS)]
+    ran: bool
+    age: Age = 0
+    host: Word = ""
+    area: Word = ""
+    pod: Annotated[int, msgspec.Meta(ge=-(1 << 31), lt=1 << 31)] = 0
+    result: bytes | None = None  # where it is done
+
+
+class Told(Said, tag=8):
+    """Nothing is known of keys that are not named, and all that was taken here for so long would be."""
+
+    since: Age
+    marks: Annotated[list[Mark], msgspec.Meta(max_length=MOST_KEYS)] = []
+    rows: Rows = []
+
+
 class BadMessage(ValueError):
     """What came is no message of this fleet."""
 
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Ping | Ack | Ask | Nack | News | Whole).decode
+_decode = msgspec.msgpack.Decoder(Ping | Ack | Ask | Nack | News | Whole | Know | Told).decode
 
 
 def encode(message) -> bytes:
--- a/heronwinch/fleet/view.py
+++ b/heronwinch/fleet/view.py
@@ -26,10 +26,12 @@
     Ack,
     Ask,
     BadMessage,
+    Know,
     Nack,
     News,
     Ping,
     Row,
+    Told,
     Whole,
     decode,
     encode,
@@ -93,6 +95,8 @@
         self.out = []
         self.exchanges = []
         self.deaths = []  # rows that this member itself has called gone, for the driver to log
+        self.asked, self.told = [], []  # Know and Told messages, where somebody takes them from here
+        self.keeps = False  # whether somebody does
         self.counts = Counter()
         self.rate = 0.0  # own work items a second, told with every message
         self.rates = {}  # of others, as they last said
@@ -175,6 +179,9 @@
             self._acked(now, message)
         elif kind is Ask:
             self._ask_for(now, message)
+        elif kind is Know or kind is Told:
+            if self.keeps:
+                (self.asked if kind is Know else self.told).append(message)
         elif kind is Nack:
             probe = self.probes.get(message.seq)
             if probe is not None:
@@ -203,6 +210,21 @@
         self._take_all(now, message)
         return self.whole(now, asks=False) if message.asks else None
 
+    def recall(self, now, rows):
+        """Who was on the roll of an earlier life of this process: held to be gone up to their own word, so
+        that nobody who is still away is left out of what is shared, or asked."""
+        for row in rows:
+            if row.name == self.table.me.name:
+                self.heir_since = now
+                self._told(now, self.table.merge(row))
+            elif row.name not in self.table.rows:
+                gone = msgspec.structs.replace(row, state=GONE, by=self.table.me.name)
+                self._told(now, self.table.merge(gone))
+
+    def say(self, host, kind, seq, *rest):
+        """A message of that kind, to be sent there."""
+        self._send(host, kind(*self._head(seq), *rest))
+
     def forget(self, now, name):
         """An operator's word that a missing member is dead for good; False where it is not missing."""
         row = self.table.rows.get(name)
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -159,6 +159,7 @@
     memory: float
     repeated: bool
     writes: bool
+    unclear: bool = False  # another dispatcher may have it or have run it, and cannot be asked
 
 
 class Had(NamedTuple):
@@ -243,6 +244,19 @@
     part: float  # of all work that comes, this one's
 
 
+class Remembered(NamedTuple):
+    """What an earlier life of this dispatcher learned: for each category its number, the mean running time,
+    the same with work that did not come to its end, and of how many."""
+
+    runs: tuple[tuple[int, float, float, int], ...]
+
+
+class Returning(NamedTuple):
+    """Power was lost, and many come back at once: for this time at most, 0 for no longer."""
+
+    time_left: int
+
+
 class Forgotten(NamedTuple):
     """A worker that is gone and will not be named again."""
 
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -20,7 +20,7 @@
     """A work item from its arrival to the last news of its hand-offs."""
 
     __slots__ = ("number", "job", "client", "effect", "expiry", "hos", "out", "ended", "orphan", "alarm",
-                 "came", "given", "sent")
+                 "came", "given", "sent", "recorded")
 
     def __init__(self, number, job, client, effect, came, given):
         self.number, self.job, self.client, self.effect = number, job, client, effect
@@ -32,6 +32,7 @@
         self.ended = False
         self.orphan = False  # the module that handed it off is no more
         self.alarm = None
+        self.recorded = False  # whether the ledger has it
 
 
 class Engine:
@@ -59,6 +60,8 @@
         self.stop_at = None
         self.workers = None
         self.discovery = None
+        self.ledger = None  # where there is one: what may not simply run again is recorded there
+        self.held = set()  # answers that wait for their record
         self.fleet = None  # the last news of other dispatchers, for a module that starts anew
         self.dispatcher = make(terms, self.random.getrandbits(64))
         self.carry_out = {
@@ -146,7 +149,10 @@
         time_left = max(0, came - self.machine.now() - MARGIN + (
             row.expiry if job.time_left is None else job.time_left))
         item = self._enter(job, client, row.effect, self.machine.now(), time_left)
-        self.post(self._arrived(item, category))
+        if self.ledger is not None and row.effect != it.Effect.RERUNNABLE:
+            self.ledger.arrive(item, category)
+        else:
+            self.post(self.arrived(item, category))
         return item
 
     def _enter(self, job, client, effect, came, given):
@@ -157,7 +163,7 @@
         self._set_alarm(item)
         return item
 
-    def _arrived(self, item, category):
+    def arrived(self, item, category):
         # No header names the account: to count all for the first would hold its share against everybody.
         job = item.job
         return it.Arrived(item.number, category, -1, self.keys.take(job.key), item.given, 0,
@@ -181,7 +187,7 @@
                     for ho in passed.hand_offs)
         item.hos = [it.Outcome(ho.outcome) if ho.outcome else None for ho in hos]
         item.sent = [(ho.worker, now - ho.age) for ho in hos]
-        self.post(it.Resumed(self._arrived(item, category), passed.age, hos))
+        self.post(it.Resumed(self.arrived(item, category), passed.age, hos))
         if streams is not None:
             item.out = 1
             self.workers.resume(item, hos[-1], passed.heard, streams)
@@ -196,6 +202,29 @@
         del self.items[item.number]
         self.post(it.Left(item.number))
 
+    def forget(self, item):
+        """Another work item has its client."""
+        item.ended = True
+        item.alarm.cancel()
+        item.client = None
+        self.keys.drop(item.job.key)
+        del self.items[item.number]
+        self.taken.let_go(item.job.id)
+
+    def expires(self, item, when):
+        """Its client has come again, with another time left."""
+        item.expiry = when
+        self._set_alarm(item)
+
+    def answer(self, item, answer, result=b""):
+        """One that the module was not told of."""
+        self._end(item, answer, result)
+        self._drop(item)
+
+    def learned(self):
+        learned = getattr(self.dispatcher, "learned", None)
+        return learned() if learned is not None else ()
+
     def catch_up(self):
         """What has been told is handled, without waiting for the next loop turn."""
         if self.events:
@@ -236,7 +265,7 @@
 
     def owes(self):
         """How many work items wait for their answer."""
-        return sum(not item.ended for item in self.items.values())
+        return len(self.held) + sum(not item.ended for item in self.items.values())
 
     def note(self, item, number, worker, topic, portion):
         self.post(it.Noted(item.number, number, worker, topic, portion))
@@ -246,6 +275,8 @@
         self.watch.must(item.hos[number] is None, "one_outcome_a_hand_off")
         item.hos[number] = over.outcome
         item.out -= 1
+        if item.recorded:
+            self.ledger.ended(item, number, over.outcome)
         if over.outcome == it.Outcome.OK and not item.ended:
             self._end(item, over.outcome, over.result)
         if over.outcome != it.Outcome.OK:
@@ -304,6 +335,22 @@
         item.alarm.cancel()
         client, item.client = item.client, None
         self.keys.drop(item.job.key)
+        if item.recorded:
+            self.ledger.final(item, answer, result, client)
+        else:
+            self._tell(client, answer, result)
+
+    def hold(self, task):
+        """An answer that waits for its record."""
+        self.held.add(task)
+        task.add_done_callback(self.held.discard)
+
+    def tell(self, item, client, answer, result):
+        """An answer that has waited: its client may have gone, or be another work item's."""
+        if client.item is item and not client.ended and not client.writer.is_closing():
+            self._tell(client, answer, result)
+
+    def _tell(self, client, answer, result):
         if type(answer) is it.Defer:
             self.watch.count("deferred")
             client.defer(answer.come_back)
--- a/heronwinch/net/fleet.py
+++ b/heronwinch/net/fleet.py
@@ -65,6 +65,7 @@
         self.counted = 0  # of own work items, at the last look
         self.rates = Counter()  # messages and bytes at the last look, and a second
         self.closed = False
+        self.keeper = None  # net/ledger.py's, who is asked what is known of clients' keys
 
     # ---- its course
 
@@ -113,7 +114,7 @@
         self.closed = True
         if self.transport is not None and leaving:
             self.view.left(self.machine.now())
-            self._flush()
+            self.flush()
             counts = self.view.counts
             log.info("view_sum", sent=counts["sent"], sent_bytes=counts["sent_bytes"],
                      received=counts["received"], called_gone=counts["called_gone"], stalls=counts["stalls"])
@@ -143,7 +144,7 @@
             if self.watch.count("fleet_fault"):
                 log.exception("fleet_fault")
         finally:
-            self._flush()
+            self.flush()
 
     def _turn(self):
         if self.closed:
@@ -153,12 +154,18 @@
         if self.view.due <= self.machine.now():
             self._act(self.view.tick)
         else:
-            self._flush()
+            self.flush()
         wait = max(0.001, (self.view.due - self.machine.now()) / it.SECOND)
         self.timer = self.loop.call_later(wait, self._turn)
 
-    def _flush(self):
+    def flush(self):
         view = self.view
+        if view.asked or view.told:
+            (asked, view.asked), (told, view.told) = (view.asked, []), (view.told, [])
+            for message in asked:
+                self.keeper.answer(message)
+            for message in told:
+                self.keeper.told(message)
         out, view.out = view.out, []
         for host, data in out:
             if self.transport is None or self.transport.get_write_buffer_size() > UNSENT:
@@ -187,6 +194,8 @@
             return
         self.changes = self.view.changes
         now, table = self.machine.now(), self.view.table
+        if self.keeper is not None:
+            self.keeper.met(table)
         divide = self.parts.look(now, self.view) * self.doubles
         serving = Counter(row.area for row in table.present() if row.state in (SERVING, SUSPECT))
         news = it.Fleet(divide, tuple(serving[area] for area in self.plan.names.areas),
@@ -284,7 +293,7 @@
     def forget(self, name):
         """(whether, remark): a missing member is dead for good."""
         done = self.view.forget(self.machine.now(), name)
-        self._flush()
+        self.flush()
         return done, f"forgot {name}" if done else f"{name} is not missing; the call view names who is"
 
 
--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -33,6 +33,23 @@
     def now(self):
         return time.monotonic_ns() + self.offset
 
+    def clock(self):
+        """What a ledger needs to know how long it was away (ledger.trust.Clock); only where there is one."""
+        from heronwinch.ledger.trust import Clock
+
+        try:
+            with open("/proc/sys/kernel/random/boot_id", encoding="ascii") as file:
+                boot = file.read().strip()
+        except OSError:
+            boot = ""  # not on this system
+        return Clock(boot, time.clock_gettime_ns(time.CLOCK_BOOTTIME), self.now())
+
+    def store(self, path):
+        """Where a ledger is kept; only where there is one."""
+        from heronwinch.net.disk import Disk
+
+        return Disk(path)
+
     def age(self, writer):
         """Nanoseconds since the last bytes came in, by the system's word: they may have lain unread while the
         process stood still, and a client's time runs from when it sent them."""
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -320,9 +320,12 @@
             return
         kept = False
         try:
-            if not sent and (ho.item.ended or self._left_long_ago(ho.worker)):
+            recorded = sent or not ho.item.recorded or await self.engine.ledger.intent(
+                ho.item, ho.number, ho.worker, self._seconds_to(ho.until))
+            if not sent and (ho.item.ended or not recorded or self._left_long_ago(ho.worker)):
                 # While it connected the client went away, or the worker's grace ran out: nothing is sent.
-                ho.settle(Over(it.Outcome.MOOT if ho.item.ended else it.Outcome.CONNECT_FAILED))
+                ho.settle(Over(it.Outcome.MOOT if ho.item.ended or not recorded
+                               else it.Outcome.CONNECT_FAILED))
                 kept = self._keep(ho.worker, connection)
             elif sent or await self._send(ho, connection):
                 ho.connection = connection
--- a/heronwinch/plan.py
+++ b/heronwinch/plan.py
@@ -30,6 +30,12 @@
     members: tuple[str, ...]  # addresses to find the others by, in any order, dead ones among them
 
 
+class LedgerPlan(NamedTuple):
+    """What is written down, and where (section `ledger`)."""
+
+    path: str  # of the store: a file of this dispatcher alone, on a disk that outlives a loss of power
+
+
 class Plan(NamedTuple):
     path: str
     shape: frozenset[str]  # what the file's settings and limits name
@@ -45,6 +51,7 @@
     terms: it.Terms
     names: Names
     fleet: FleetPlan | None = None
+    ledger: LedgerPlan | None = None
 
 
 def read_file(path):
@@ -83,6 +90,7 @@
             terms=read_terms(values),
             names=read_names(values),
             fleet=_fleet(tree),
+            ledger=_ledger(tree, environ),
         )
         _check(tree)
         return plan
@@ -183,6 +191,25 @@
                      tuple(f"{host}:{port}" for host, port in addresses))
 
 
+def _ledger(tree, environ):
+    """The section `ledger`, None where there is none."""
+    if "ledger" not in tree:
+        return None
+    section = tree["ledger"]
+    if not isinstance(section, dict):
+        raise PlanError(f"ledger is {section!r}; write an object with path")
+    for word in section:
+        if word != "path":
+            raise PlanError(f"ledger.{word}: nothing is called so; there is path")
+    path = section.get("path")
+    if not isinstance(path, str) or not path or "\0" in path:
+        raise PlanError(f"ledger.path is {path!r}; write the file that the store is to be")
+    if environ.get("RELAY_LISTEN_FD"):
+        raise PlanError("ledger: a process that is replaced while it serves (RELAY_LISTEN_FD) cannot keep "
+                        "one yet, as both would write it; take either out")
+    return LedgerPlan(path)
+
+
 def _descriptor(text):
     if not text:
         return None
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -33,7 +33,9 @@
     Probe,
     Probed,
     Rang,
+    Remembered,
     Resumed,
+    Returning,
     SetTimer,
     Standing,
     Stopping,
@@ -216,6 +218,7 @@
         self.gap = 0.0  # mean time between own hand-offs
         self.last_sent = 0
         self.last = NEVER  # the end of a planned stop
+        self.returning = 0  # up to when clients come back all at once
         self.away = NEVER  # from when on clients should have gone elsewhere
         self.asking_again, self.refusals = False, 0  # failed calls to discovery in a row
         self.reactions = {
@@ -223,7 +226,7 @@
             Rang: self._rang, Noted: self._noted, Probed: self._probed,
             Stopping: self._stopping, Forgotten: self._forgotten,
             Changed: self._changed, Evacuating: self._evacuating, Resumed: self._resumed,
-            Fleet: self._fleet,
+            Fleet: self._fleet, Remembered: self._remembered, Returning: self._returning,
         }
 
     def handle(self, now, events):
@@ -342,7 +345,12 @@
             row.effect == Effect.TICKETED and row.group == Group.ALL and self.now < wi.window_end())
         if not harmless:
             return WriteOff(wi.id)
-        return Defer(wi.id, min(self.T, self.terms.longest_come_back) if self.terms.come_back else 0)
+        longest = self.terms.longest_come_back
+        soon = min(self.T, longest)
+        if self.now < self.returning:
+            # All were turned away at one moment; told one time, they would all be back at another.
+            soon += int(self.random.random() * (longest - soon))
+        return Defer(wi.id, soon if self.terms.come_back else 0)
 
     def _advance(self, wi, answer=None):
         wi.waits = None
@@ -520,6 +528,11 @@
             wi.within = self._pays(event.account)
         self.memory += (wi.memory / wi.slots - self.memory) / 32
         self.items[wi.id] = wi
+        if event.unclear:
+            # Where it may have run, and when, is not to be known now: nothing is done here, so its client may
+            # come again, when perhaps it is.
+            self._end(wi, self._giving_up(wi))
+            return
         wi.course = self._course(wi)
         self._advance(wi)
 
@@ -561,9 +574,27 @@
             ho.noted = self.now
             if self.terms.progress_every:
                 self._watch(ho)
+        if wi.hos and not wi.out and not self._may_go_again(wi):
+            self._end(wi, self._giving_up(wi))
+            return
         wi.course = self._course(wi)
         self._advance(wi)
 
+    def _remembered(self, event):
+        """Running times of an earlier life hold until own record says otherwise."""
+        for category, run, likely, seen in event.runs:
+            row = self.rows[category]
+            if not row.seen:
+                row.run, row.likely, row.seen = run, likely, seen
+                self.run = moved(self.run, run, 16)
+
+    def learned(self):
+        """By category, what Remembered is made of."""
+        return tuple((row.run, row.likely, row.seen) for row in self.rows)
+
+    def _returning(self, event):
+        self.returning = self.now + event.time_left
+
     def _left(self, event):
         wi = self.items.get(event.wi)
         if wi is not None:
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -31,6 +31,7 @@
 LAST_IDLE = 0.5  # seconds from that call in which connections may stand idle
 LOOK = 0.05  # seconds between two looks for the other process
 SWEEP = 0.5  # seconds between two looks at idle connections
+LEDGER_FILES = 8  # descriptors kept for a ledger: its database, WAL, lock, one more set while it is rewritten
 FLEET_SOCKETS = 16  # descriptors kept for talk with other dispatchers, as net/fleet.py bounds them
 SUM_UP = 10.0  # seconds between two lines on what went wrong
 
@@ -75,6 +76,14 @@
                 raise Unlistenable(f"fleet: {fault.name} is missing; pip install .") from None
             self.fleet = Fleet(plan, machine, self.engine, self.watch)
             self.calls |= {"view": lambda: (True, self.fleet.status())}
+        self.ledger = self.returning = None
+        if plan.ledger is not None:
+            try:
+                from heronwinch.net.ledger import Ledger
+            except ModuleNotFoundError as fault:
+                raise Unlistenable(f"ledger: {fault.name} is missing; pip install .") from None
+            self.ledger = self.engine.ledger = Ledger(
+                plan, machine, self.engine, self.workers, self.watch)
         self.serving = False
         self.closing_idle = None  # while clients are sent away
         self.stop = asyncio.Event()
@@ -90,7 +99,7 @@
     def _budget(self, plan):
         sockets = min(plan.sockets, self.machine.descriptors())
         share = 1 + self.overlaps
-        sockets -= FLEET_SOCKETS * (plan.fleet is not None)
+        sockets -= FLEET_SOCKETS * (plan.fleet is not None) + LEDGER_FILES * (plan.ledger is not None)
         return Budget(sockets // share, plan.memory_mb // share)
 
     async def run(self):
@@ -103,6 +112,11 @@
             await _opened(plan.mgmt, self.operators.listen(*plan.mgmt))
         if self.sock is None:
             self.sock = _usable(_said(plan.listen), lambda: self.machine.listening(*plan.listen))
+        if self.ledger is not None:
+            from heronwinch.net.returning import Returning
+
+            self.returning = Returning(self)
+            await self.returning.read()
         self.engine.post(self.workers.list(it.ListKind.CACHED, plan.known))
         if plan.terms.pushed_list:
             self.discovery.subscribe(True)
@@ -114,6 +128,8 @@
                 await _opened(plan.fleet.listen, self.fleet.open(False))
         if self.overlaps:
             await self._ripen()
+        if self.returning is not None:
+            await self.returning.gather()
         if self.presence is not None and not self.taking.open():
             self.watch.count("taking_unavailable")
         await self.listener.listen(self.sock)
@@ -169,7 +185,8 @@
         return yes, text
 
     def _readyz(self):
-        return self.serving, "ready" if self.serving else "not ready yet"
+        told = f", {self.returning.told()}" if self.returning is not None else ""
+        return self.serving, ("ready" if self.serving else "not ready yet") + told
 
     def _evacuate(self):
         """Clients are sent away; nothing else changes, and nothing restarts."""
@@ -283,6 +300,8 @@
         self.operators.close()
         self.discovery.close()
         self.workers.close()
+        if self.ledger is not None:
+            await self.ledger.close()
         self.watch.sum_up()
         log.info("stopped", unanswered=self.engine.owes(), seconds=round(self.loop.time() - begun, 3))
 
--- a/heronwinch/rehearsal/branch.py
+++ b/heronwinch/rehearsal/branch.py
@@ -284,6 +284,14 @@
     def no_descriptors(self, name):
         return lambda: None
 
+    no_disk = no_descriptors
+
+    def store_path(self, name):
+        return "-"
+
+    def doctor(self, name, how, random, by):
+        pass
+
     def bar(self, some, others):
         pass
 
--- a/heronwinch/rehearsal/course.py
+++ b/heronwinch/rehearsal/course.py
@@ -10,7 +10,7 @@
 # What the log of a program says of its own faults: none of it may happen, whatever happens outside.
 FAULTS = (
     "module_fault", "action_fault", "client_fault", "hand_off_fault", "probe_fault", "stray_fault",
-    "invariant_broken",
+    "invariant_broken", "fleet_fault", "ledger_fault",
 )  # fmt: skip
 
 
--- a/heronwinch/rehearsal/ground/process.py
+++ b/heronwinch/rehearsal/ground/process.py
@@ -206,12 +206,22 @@
 class VirtualMachine:
     """What a program asks of its machine, as net/machine.py has it, on the ground's clock and network."""
 
-    def __init__(self, process):
-        self.process = process
+    def __init__(self, process, sync=1_000_000):
+        self.process, self.sync = process, sync  # nanoseconds that its disk takes for a commit
 
     def now(self):
         return EPOCH + self.process.kernel.now
 
+    def clock(self):
+        from heronwinch.ledger.trust import Clock
+
+        return Clock("virtual", self.process.kernel.now, self.now())
+
+    def store(self, path):
+        from heronwinch.rehearsal.ground.disk import VirtualDisk
+
+        return VirtualDisk(self.process, path, self.sync)
+
     def age(self, writer):
         milliseconds = (self.process.kernel.now - writer.transport.end.heard) // 1_000_000
         return milliseconds * 1_000_000
--- a/heronwinch/rehearsal/models/traffic.py
+++ b/heronwinch/rehearsal/models/traffic.py
@@ -21,6 +21,7 @@
     retries: int = 2
     wait: bool = True  # whether a retry keeps away for as long as it was told, or a while
     impatient: float = 0.0  # the share of clients that leave before their time is up
+    returns: bool = False  # whether they come again with their key where their connection is lost
     size: int = 64  # bytes of a body
     begins: int = 0
     ends: int = 0  # 0: with the run
--- a/heronwinch/rehearsal/nursery.py
+++ b/heronwinch/rehearsal/nursery.py
@@ -29,10 +29,11 @@
     LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def spawned(module, *words, **given):
-    """A helper of the rig: a module of this package in a process that dies with the rig."""
+def spawned(module, *words, dies=True, **given):
+    """A helper of the rig: a module of this package in a process, which dies with the rig."""
     line = [sys.executable, "-m", f"heronwinch.rehearsal.{module}", *map(str, words)]
-    return subprocess.Popen(line, cwd=ROOT, preexec_fn=dies_with_parent, **given)  # the rig has one thread
+    before = dies_with_parent if dies else None
+    return subprocess.Popen(line, cwd=ROOT, preexec_fn=before, **given)  # the rig has one thread
 
 
 class Child:
--- a/heronwinch/rehearsal/script.py
+++ b/heronwinch/rehearsal/script.py
@@ -84,6 +84,8 @@
     told: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 0  # how many their settings say there are; 0: true
     view: bool = False  # whether they keep a view of each other
     seeds: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 3  # how many each is told of, to find the others by
+    ledger: bool = False  # whether each keeps a store
+    sync: Span = Span(1_000_000)  # of its disk, on the virtual ground
     notice: Span = Span(2 * SECOND)  # after which the front knows that one has died
 
 
@@ -127,6 +129,7 @@
     retries: Annotated[int, msgspec.Meta(ge=0, le=100)] = 2
     wait: bool = True
     impatient: Share = 0.0
+    returns: bool = False  # whether clients whose connection is lost come again with their key
     size: Annotated[int, msgspec.Meta(ge=0, le=60_000)] = 64
     begins: Span = Span(0)
     ends: Span = Span(0)
@@ -151,6 +154,8 @@
     way: Literal["", "in", "out"] = ""  # that is barred, as those who are struck see it; both where not told
     areas: list[str] = []  # two that do not reach each other
     twice: Share = 0.0
+    spoilt: Share = 0.0  # of the dispatchers that lose power, whose store is spoilt by it
+    clock: Span = Span(0)  # by which the clocks of those that lose power were off before
 
 
 class Told(Part):
@@ -183,7 +188,8 @@
     "hold": Told("dispatchers", ("lasts",), says="its process stands still"),
     "starve": Told("dispatchers", ("lasts", "factor"), says="it has this part of its processor, in turns"),
     "descriptors": Told("dispatchers", ("lasts",), says="it can open nothing more"),
-    "power": Told("", ("lasts",), ("area", "waves", "every", "by"),
+    "disk": Told("dispatchers", ("lasts",), says="its disk takes nothing"),
+    "power": Told("", ("lasts",), ("area", "waves", "every", "by", "spoilt", "clock"),
                   "an area, or all and discovery, have no power; back in waves, discovery `by` later"),
     "part": Told("sides", ("lasts",), ("way", "areas"), says="they and the other dispatchers hear nothing"),
     "loss": Told("", ("lasts", "share"), ("twice", "by"), says="this share of datagrams is lost"),
@@ -196,7 +202,7 @@
 }
 WORDS = (
     "share", "count", "workers", "dispatchers", "by", "factor", "rate", "lasts", "area", "waves", "every",
-    "way", "areas", "twice",
+    "way", "areas", "twice", "spoilt", "clock",
 )  # fmt: skip
 
 
@@ -359,6 +365,9 @@
             )
         if row.period <= 0:
             yield f"traffic[{i}].period", "a period is longer than nothing"
+        effect = next((each.effect for each in script.categories if each.name == row.category), "ticketed")
+        if row.returns and effect != "ticketed":
+            yield f"traffic[{i}].returns", f"{effect} work has no key to come again with; take returns out"
         if row.ends and row.ends <= row.begins:
             yield f"traffic[{i}].ends", "it ends before it begins"
     if not script.fleet.areas:
@@ -413,6 +422,8 @@
         yield f"{at}.areas", f"name two areas of {', '.join(script.fleet.areas)}"
     if trouble.what in ("part", "loss") and not script.dispatchers.view:
         yield f"{at}.what", f"{trouble.what} strikes dispatchers' talk; write view = true in [dispatchers]"
+    if (trouble.spoilt or trouble.clock or trouble.what == "disk") and not script.dispatchers.ledger:
+        yield f"{at}.what", f"{trouble.what} strikes stores here; write ledger = true in [dispatchers]"
     if trouble.area and listed:
         yield f"{at}.area", f"{word} are named already; take the area out"
     if bool(trouble.waves) != bool(trouble.every):
@@ -546,6 +557,7 @@
             row.retries,
             row.wait,
             row.impatient,
+            row.returns,
             row.size,
             int(row.begins),
             int(row.ends),
--- a/heronwinch/rehearsal/stage.py
+++ b/heronwinch/rehearsal/stage.py
@@ -132,6 +132,7 @@
             "known": stage.ground.seen_by(self.name, stage.roster.whole(stage.now())),
             "settings": scripts.settings(stage.script, self.name),
             **({"fleet": self.fleet()} if own.view else {}),
+            **({"ledger": {"path": stage.ground.store_path(self.name)}} if own.ledger else {}),
         }
 
     def fleet(self):
--- a/heronwinch/rehearsal/troubles.py
+++ b/heronwinch/rehearsal/troubles.py
@@ -1,8 +1,11 @@
 """The troubles of a script, each begun and ended at its time. Troubles overlap as they like."""
 
+from random import Random
+
 from heronwinch.interface import SECOND
 from heronwinch.rehearsal import script as scripts
 
+SPOILT = ("flipped", "cut", "gone")  # as rehearsal/doctor.py does it
 RUNG = SECOND // 1000  # that a timer may ring early
 TURN = SECOND // 10  # in which a process that is short of its processor runs once
 AFTER_GRACE = SECOND  # beyond the grace at which a worker that shrinks away ends
@@ -13,6 +16,7 @@
         self.stage = stage
         self.begun = 0  # when the trouble at hand began
         self.acting = {}  # worker -> what a new life of it suffers from its start
+        self.doctored = {}  # dispatcher -> what is done to its store before it is back
         self.dark = {}  # worker or dispatcher -> when it has power again
 
     def start(self, begins, spawn):
@@ -207,6 +211,12 @@
         else:
             self._discovery_out(int(trouble.lasts) + int(trouble.by))
         random.shuffle(struck)
+        stores = [name for name in struck if name in stage.dispatchers]
+        spoilt = stores[: round(trouble.spoilt * len(stores))]
+        for name in stores:
+            ways = [(random.choice(SPOILT), 0)] if name in spoilt else []
+            ways += [("clock", random.choice((-1, 1)) * int(trouble.clock))] if trouble.clock else []
+            self.doctored[name] = [(*way, random.getrandbits(64)) for way in ways]
         waves = max(1, trouble.waves)
         for i in range(waves):
             for name in struck[len(struck) * i // waves : len(struck) * (i + 1) // waves]:
@@ -233,6 +243,8 @@
         if self.is_dark(name):
             return
         if name in self.stage.dispatchers:
+            for how, by, seed in self.doctored.pop(name, ()):
+                self.stage.ground.doctor(name, how, Random(seed), by)
             self._again(self.stage.dispatchers[name])
         else:
             self.stage.ground.back(name)
@@ -284,15 +296,22 @@
         turn()
 
     def _descriptors(self, trouble, place):
+        # What waits in the listen queue is let in late.
+        self._lacks(trouble, place, "without descriptors", self.stage.ground.no_descriptors, SECOND)
+
+    def _disk(self, trouble, place):
+        self._later(trouble.lasts, self.stage.ground.no_disk(place.name))
+
+    def _lacks(self, trouble, place, what, begin, after):
         stage = self.stage
         if not place.is_up:
             return
-        spell = stage.ledgers.begin("without descriptors", place.name, stage.now())
-        end_of_it = stage.ground.no_descriptors(place.name)
+        spell = stage.ledgers.begin(what, place.name, stage.now())
+        end_of_it = begin(place.name)
 
         def end():
             end_of_it()
-            spell.ends = stage.now() + SECOND  # what waits in the listen queue is let in late
+            spell.ends = stage.now() + after
 
         self._later(trouble.lasts, end)
 
--- a/heronwinch/rehearsal/virtual.py
+++ b/heronwinch/rehearsal/virtual.py
@@ -1,6 +1,7 @@
 """The virtual ground for a stage: every dispatcher is the unchanged program in a process of its own."""
 
 import asyncio
+import errno
 import json
 from collections import Counter
 
@@ -17,6 +18,7 @@
 from heronwinch.rehearsal.views import EVENTS
 
 PORT, FLEET_PORT = 7070, 7946
+STORE = "ledger"
 DISCOVERY, CLIENTS = "10.2.0.1", "10.3.0.1"
 ENVIRON = {"RELAY_CONFIG": "config.json"}
 LOOK = SECOND // 2  # how old at most what a policy that sees all workers is told
@@ -160,7 +162,8 @@
 
         async def main():
             plan = read_plan(ENVIRON, read=process.files.read_text)
-            record.program = Program(plan, VirtualMachine(process), make, reread)
+            machine = VirtualMachine(process, int(self.script.dispatchers.sync))
+            record.program = Program(plan, machine, make, reread)
             await record.program.run()
 
         process.start(main)
@@ -200,6 +203,23 @@
         process = self.processes[name]
         process.pause() if on else process.resume()
 
+    def store_path(self, name):
+        return STORE
+
+    def no_disk(self, name):
+        files = self.files[name]
+        files.failing = errno.EIO
+
+        def end():
+            files.failing = None
+
+        return end
+
+    def doctor(self, name, how, random, by):
+        from heronwinch.rehearsal.doctor import on_files
+
+        on_files(self.files[name], STORE, how, random, by)
+
     def no_descriptors(self, name):
         process = self.processes[name]
         before, process.limit = process.limit, 0
