check recovery: every course of one key over two dispatchers; three faults of the return mended

Found by it, and mended: - What another told of a key was held in memory alone: who had it from another and went down took the work for such as never began, and sent it to another group. It is in the row of the work item now (two rows could be torn apart). - Of a spoilt store the rows before the damage were believed to tell where work that was open had run. - Others were told where work under way was; it came up nowhere, went elsewhere, and ran twice.

--- a/heronwinch/cli.py
+++ b/heronwinch/cli.py
@@ -237,18 +237,21 @@
     "--jobs", type=click.IntRange(1, 256), default=None, help="Processes; as many as cores by default."
 )
 @click.option("--seed", type=int, default=1, show_default=True, help="The first of the seeds.")
+@click.option("--script", "base", metavar="SCRIPT", help="Random times and sizes of this script's troubles.")
 @click.option(
     "--out", metavar="DIR", default="found", show_default=True, help="Where failing scripts are written."
 )
 @click.option("--json", "path", metavar="FILE", help="Write what was played and found there.")
 @click.option("--fault", help="Plant a fault in the program, to see that it is found (see the docs).")
-def explore(runs, jobs, seed, out, path, fault):
+def explore(runs, jobs, seed, base, out, path, fault):
     """Play random overlapping troubles; shrink whatever breaks a rule to a script that replays it."""
     from heronwinch.rehearsal.explorer import explore as search
     from heronwinch.rehearsal.faults import FAULTS
 
     if fault is not None and fault not in FAULTS:
         raise Bad(f"--fault: no fault is called {fault}; there are {', '.join(FAULTS)}")
+    if base is not None:
+        read(base)  # a bad one is told here
     shown = sys.stderr.isatty()
 
     def told(line):
@@ -256,7 +259,7 @@
             click.echo(line, err=True, nl=not line.startswith("\r"))
 
     try:
-        found = search(runs, jobs, seed, out, fault, told)
+        found = search(runs, jobs, seed, out, fault, told, base)
     except OSError as problem:
         raise Stop(f"explore failed: {problem}") from problem
     if path:
@@ -368,12 +371,13 @@
 
 
 @main.command()
-@click.argument("what", type=click.Choice(["view", "messages"]))
+@click.argument("what", type=click.Choice(["view", "messages", "recovery"]))
 @click.option("--plant", help="Plant a fault in the rules, to see that it is found.")
 @click.option("--runs", type=click.IntRange(1, 100_000_000), default=100_000, show_default=True,
               help="Of messages.")
 def check(what, plant, runs):
-    """Explore every course of what dispatchers' views rest on, within bounds, for two and three members.
+    """Explore every course, within bounds, of what dispatchers' views rest on (`view`), or of one piece of
+    work over crashes, returns and questions (`recovery`).
 
     Exit status 1 with the shortest course where something is wrong. `messages`: so many spoilt ones instead.
     """
@@ -388,9 +392,12 @@
         click.echo("  ".join(f"{name} {count}" for name, count in told.items()))
         click.echo("nothing was raised, no bound passed")
         return
-    from heronwinch.rehearsal.check import PLANTS
-    from heronwinch.rehearsal.check import check as explored
-
+    if what == "recovery":
+        from heronwinch.rehearsal.check_recovery import PLANTS
+        from heronwinch.rehearsal.check_recovery import check as explored
+    else:
+        from heronwinch.rehearsal.check import PLANTS
+        from heronwinch.rehearsal.check import check as explored
     if plant is not None and plant not in PLANTS:
         raise Bad(f"--plant: no fault is called {plant}; there are {', '.join(PLANTS)}")
     for found in explored(plant):
@@ -403,6 +410,105 @@
     click.echo("nothing is wrong in any of them")
 
 
+@main.group()
+def ledger():
+    """Look at a store that a dispatcher keeps (section `ledger`)."""
+
+
+def opened(path, alone=False):
+    """(the store, what it holds, its book, where that ends early)."""
+    from heronwinch.ledger.book import Book
+    from heronwinch.ledger.records import BadRecord, decode
+    from heronwinch.ledger.store import Store, StoreError, StoreFault
+
+    store = Store(path)
+    try:
+        store.open(alone)
+        found = store.read()
+    except StoreError as fault:
+        raise Bad(str(fault)) from None
+    except StoreFault as fault:
+        raise Stop(str(fault)) from None
+    book, spoilt = Book(), found.spoilt
+    for number, row in enumerate(found.rows, 1):
+        try:
+            book.apply(decode(row))
+        except BadRecord as fault:
+            spoilt = f"row {number}: {fault}"
+            break
+    return store, found.rows, book, spoilt
+
+
+def sums(book):
+    known = len(book.entries) - len(book.open)
+    ran = sum(entry.anchor is not None for entry in book.open.values())
+    return f"{len(book.open)} work items open, {ran} of them may have run, {known} answered"
+
+
+@ledger.command()
+@click.argument("path")
+@click.option("--open", "shown", is_flag=True, help="List what is open, a line each.")
+def inspect(path, shown):
+    """Tell whose store it is and what it holds; nothing is changed."""
+    store, rows, book, spoilt = opened(path)
+    store.close()
+    life = book.life
+    if life is None:
+        click.echo(f"{path}: {len(rows)} rows, nobody's")
+    else:
+        click.echo(f"{path}: {len(rows)} rows of {life.name}, fleet {life.fleet or '-'}, form {life.form}, "
+                   + ("ended in order" if book.closed else "did not end in order"))
+    click.echo(sums(book) + f", {len(book.keys)} keys of clients, {len(book.roll)} members on the roll")
+    for category, mean, _, seen in book.runs:
+        click.echo(f"  {category}: mean running time {mean / 1e6:.1f} ms, {seen} seen")
+    for entry in book.owed() if shown else ():
+        hos = ", ".join(f"{ho.host} {'out' if not ho.outcome else it_name(ho.outcome)}" for ho in entry.hos)
+        click.echo(f"  {entry.took.category} {entry.took.id.decode()}: {hos or 'not handed off'}")
+    if spoilt:
+        click.echo(f"spoilt: {spoilt}; this is what came before")
+
+
+def it_name(outcome):
+    from heronwinch.interface import Outcome
+
+    return Outcome(outcome).name.lower() if outcome in Outcome._value2member_map_ else str(outcome)
+
+
+@ledger.command()
+@click.argument("path")
+def verify(path):
+    """Read all of it. Exit status 1 and one line where something is spoilt, with what survives."""
+    store, rows, book, spoilt = opened(path)
+    store.close()
+    if spoilt:
+        click.echo(f"{path}: {spoilt}; {len(rows)} rows before it are sound: {sums(book)}")
+        sys.exit(BROKEN)
+    click.echo(f"{path}: {len(rows)} rows, all sound: {sums(book)}")
+
+
+@ledger.command()
+@click.argument("path")
+def compact(path):
+    """Write a store anew with what is needed alone; its dispatcher must not run."""
+    import time
+
+    from heronwinch.ledger.records import encode
+    from heronwinch.ledger.store import StoreFault
+
+    store, rows, book, spoilt = opened(path, alone=True)
+    try:
+        if spoilt:
+            raise Bad(f"{path}: {spoilt}; its dispatcher puts it aside at its start, this does not touch it")
+        book.prune(time.time_ns())
+        kept = [encode(record) for record in book.snapshot()]
+        store.rewrite(kept)
+    except StoreFault as fault:
+        raise Stop(str(fault)) from None
+    finally:
+        store.close()
+    click.echo(f"{path}: {len(rows)} rows, {len(kept)} now: {sums(book)}")
+
+
 @main.command()
 @click.option("--json", "path", metavar="FILE", help="Write the rows there.")
 @click.option("--views", metavar="N,N,..", help="Views of so many members instead, beside heartbeats.")
--- a/heronwinch/fleet/asking.py
+++ b/heronwinch/fleet/asking.py
@@ -26,6 +26,11 @@
     mark: object = None  # messages.Mark, where MARKED
 
 
+def word(silent, unsure):
+    """What it comes to that nobody says it may have run: silence is no word."""
+    return UNKNOWN if silent or unsure else NOTHING
+
+
 class _Key:
     __slots__ = ("name", "first", "done", "unsure", "over")
 
@@ -124,7 +129,7 @@
         del self.rounds[seq]
         silent = round.silent & set(self._others())
         for key in round.keys:
-            self._done(key, Verdict(UNKNOWN if silent or key.unsure else NOTHING))
+            self._done(key, Verdict(word(silent, key.unsure)))
 
     @staticmethod
     def _done(key, verdict):
--- a/heronwinch/ledger/book.py
+++ b/heronwinch/ledger/book.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from heronwinch.interface import NEVER_RAN, SECOND
+from heronwinch.interface import NEVER_RAN, SECOND, Outcome
 from heronwinch.ledger.records import (
     FINISHED,
     BadRecord,
@@ -25,6 +25,7 @@
 )
 
 KEPT = 60 * SECOND  # that what has ended is kept at least; longer where its window or its time is
+NOBODY = "-"  # the host of a hand-off that is not on record
 MOST = 200_000  # ended work items in mind
 
 
@@ -111,7 +112,13 @@
     def _took(self, record):
         if record.id in self.entries:
             raise BadRecord(f"{record.id!r} was taken twice")
-        self.entries[record.id] = self.open[record.id] = Entry(record)
+        entry = self.entries[record.id] = self.open[record.id] = Entry(record)
+        if record.mark is not None:
+            # In one row with it: found by `check recovery`, where the one was on the disk without the other.
+            host, area, pod, when = record.mark
+            before = HandOff(Began(record.id, 0, when, host, area, pod))
+            before.outcome = Outcome.STALE
+            entry.hos.append(before)
         if record.ticket:
             self.keys.setdefault(digest(record.category, record.ticket), []).append(record.id)
 
@@ -181,6 +188,18 @@
         self.learned = 0
         self.last = now
 
+    def damaged(self):
+        """Rows are missing, perhaps of all that was open: where it ran, if it did, and when nobody knows.
+        Found by `check recovery`: of two hand-offs the second was missing, and a repeat went to the group of
+        the first."""
+        for entry in self.open.values():
+            if entry.anchor is None:
+                lost = HandOff(Began(entry.took.id, len(entry.hos), 0, NOBODY))
+                lost.outcome = Outcome.STALE
+                entry.hos.append(lost)
+            for ho in entry.hos:
+                ho.when = 0
+
     def shift(self, by):
         """All times are another clock's from now on, that much later."""
         for entry in self.entries.values():
@@ -223,8 +242,12 @@
         if self.roll:
             yield Roll(self.last, list(self.roll))
         for entry in self.entries.values():
+            first = 0
+            if entry.took.mark is not None:
+                first, ho = 1, entry.hos[0]
+                entry.took = msgspec.structs.replace(entry.took, mark=(ho.host, ho.area, ho.pod, ho.when))
             yield entry.took
-            for number, ho in enumerate(entry.hos):
+            for number, ho in enumerate(entry.hos[first:], first):
                 yield Began(entry.took.id, number, ho.when, ho.host, ho.area, ho.pod)
                 if ho.outcome:
                     yield Ended(entry.took.id, number, ho.outcome)
--- a/heronwinch/ledger/records.py
+++ b/heronwinch/ledger/records.py
@@ -37,6 +37,7 @@
     slots: float = 1.0
     memory: float = 0.0
     repeated: bool = False
+    mark: tuple[str, str, int, int] | None = None  # where it may have run before: host, area, pod, when
 
 
 class Began(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/heronwinch/ledger/store.py
+++ b/heronwinch/ledger/store.py
@@ -139,7 +139,9 @@
             new.db.close()
             # What the old file's WAL holds goes into it before that is unlinked: until the new one has its
             # place, the old one is all there is.
-            self.db.execute("pragma wal_checkpoint(truncate)")
+            (busy, *_) = self.db.execute("pragma wal_checkpoint(truncate)").fetchone()
+            if busy:
+                raise sqlite3.OperationalError("database is locked")
             self.db.close()
             for end in ("-wal", "-shm"):  # of the old file: the new one must not be taken for its own
                 with suppress(FileNotFoundError):
--- a/heronwinch/net/ledger.py
+++ b/heronwinch/net/ledger.py
@@ -38,13 +38,14 @@
 from heronwinch.protocol.discovery import Host
 from heronwinch.protocol.passing import Passed, PassedHandOff
 from heronwinch.protocol.workers import Over
+from heronwinch.recovery.owed import GOES_ON, becomes
 
 log = structlog.get_logger()
 
 OPENING = 5.0  # seconds that the store may take to be read, before service begins without it
 SLOW = 0.25  # seconds that a commit may be out before work that needs one is deferred
 AGAIN = 1.0  # seconds between two tries at a disk that has failed; also the come-back time told meanwhile
-LEARN = 5.0  # seconds between two records of what was learned
+LEARN = 1.0  # seconds between two records of what was learned
 COMPACT = 4096  # rows beyond twice what the book needs, after which they are written anew
 LAST = 0.3  # seconds for the last record at a stop
 RESULT = 900  # bytes of results that one datagram tells, less ...
@@ -159,6 +160,7 @@
         else:
             self.book.distrust(clock.now)
         if spoilt:
+            self.book.damaged()
             # What is missing may be the intent of any hand-off: nothing that was open provably never ran.
             log.error("ledger_spoilt", path=self.plan.ledger.path, where=spoilt, kept=len(self.book.entries))
         elif told.sure:
@@ -184,10 +186,10 @@
         paths, rows = self.engine.categories, self.engine.terms.categories
         for entry in self.book.owed():
             took = entry.took
-            left = took.given - (now - took.when)
             effect = rows[paths[took.category]].effect if took.category in paths else None
-            if not self.whole or left <= 0 or effect != took.effect:
-                self.note(Final(took.id, now, WRITTEN_OFF if entry.anchor or not self.whole else DEFERRED))
+            ended = becomes(entry, now, self.whole, effect)
+            if ended is not GOES_ON:
+                self.note(Final(took.id, now, ended))
                 continue
             for number, ho in enumerate(entry.hos):
                 if not ho.outcome:  # it went down with the process
@@ -361,8 +363,12 @@
         # Its time has gone on while others were asked.
         arrived = self.engine.arrived(item, category)._replace(
             time_left=max(0, item.expiry - self.machine.now()))
+        # As this one's own first, where it may have run before. Guards against a return that took it for such
+        # as never began, and sent it to another group; found by `check recovery`.
+        mark = None if anchor is None else (
+            anchor.host, anchor.area, anchor.pod, max(0, self.machine.now() - age))
         self.note(Took(job.id, item.came, item.given, job.category, int(item.effect), job.target,
-                       job.ticket or b"", job.body, job.key, job.slots, job.memory, job.repeated))
+                       job.ticket or b"", job.body, job.key, job.slots, job.memory, job.repeated, mark))
         item.recorded = True
         self.items[job.id] = item
         if anchor is None:
@@ -396,7 +402,8 @@
         mine = self.numbers[item.number, number] = len(entry.hos)
         self.note(Began(item.job.id, mine, self.machine.now(), here.host, here.area, here.pod))
         try:
-            await self.written(seconds)
+            # Not for longer: what it was let go by (a window, a report) would be of another time.
+            await self.written(min(seconds, 2 * SLOW))
         except Unwritten:
             return False
         return True
@@ -496,7 +503,9 @@
             if result is not None and len(result) > room:
                 result = None
             room -= len(result or b"")
-            first = known.anchor
+            # Of what is open here it may turn out that it never ran, and it may go elsewhere then: nobody
+            # else is to go by where it is now. Found by `check recovery`.
+            first = known.anchor if known.open is None or result is not None else None
             marks.append(Mark(i, False) if first is None else Mark(
                 i, True, min(self._age(first), 1 << 60), first.host, first.area, first.pod, result))
         self.fleet.view.say(message.own.host, Told, message.seq, max(0, now - self.since), marks)
--- a/heronwinch/recovery/stages.py
+++ b/heronwinch/recovery/stages.py
@@ -15,7 +15,7 @@
     """How long each stage may take at most; nanoseconds."""
 
     store: int = 6 * SECOND  # the disk may hang: work that needs none is not to wait for it
-    gather: int = SECOND // 2  # discovery answers at once where there is news, others within a round trip
+    gather: int = SECOND // 5  # discovery answers at once where there is news, others within a round trip
     owed: int = SECOND // 2  # it is taken up in one turn; the module hands it off in its order
     growing: int = 60 * SECOND  # up to when workers that started with it are warm
 
--- a/heronwinch/rehearsal/check.py
+++ b/heronwinch/rehearsal/check.py
@@ -202,26 +202,32 @@
 
 def search(model, most=2_000_000, progress=lambda states: None):
     """Explores a model; raises MemoryError where it has more states than that."""
-    start = first(model)
+    return explored(model.name, first(model), lambda state: steps(model, state),
+                    lambda state: wrong(model, state) or settles(model, state), most, progress)
+
+
+def explored(name, start, steps, wrong, most, progress):
+    """All that can come of `start`, nearest first: `steps(state)` gives (what happens, the state after it),
+    `wrong(state)` what is not as it has to be."""
     came = {start: None}
     queue = deque([start])
     while queue:
         state = queue.popleft()
-        says = wrong(model, state) or settles(model, state)
+        says = wrong(state)
         if says:
-            return Found(model.name, len(came), says, _course(came, state))
+            return Found(name, len(came), says, _course(came, state))
         try:
-            for what, after in steps(model, state):
+            for what, after in steps(state):
                 if after not in came:
                     came[after] = state, what
                     queue.append(after)
         except Failure as fault:
             what, says = fault.args
-            return Found(model.name, len(came), says, (*_course(came, state), what))
+            return Found(name, len(came), says, (*_course(came, state), what))
         if len(came) > most:
-            raise MemoryError(f"{model.name}: over {most} states")
+            raise MemoryError(f"{name}: over {most} states")
         progress(len(came))
-    return Found(model.name, len(came))
+    return Found(name, len(came))
 
 
 def _course(came, state):
--- a/heronwinch/rehearsal/costs.py
+++ b/heronwinch/rehearsal/costs.py
@@ -9,7 +9,7 @@
 from heronwinch.rehearsal.judge import SLACK
 from heronwinch.rehearsal.meter import peak
 
-BACK = 0.95  # of the credit before a trouble: then it is over
+HALF, BACK, NEARLY_ALL = 0.5, 0.95, 0.99  # of the credit before a trouble; with the second it is over
 LOOKED = 5  # seconds before a trouble that say what was usual
 EVEN = 3  # seconds over which credit is averaged: one alone moves by chance
 
@@ -55,9 +55,10 @@
     return sum(seconds[s][1] for s in range(begins, ends) if s in seconds) / asked if asked else None
 
 
-def recoveries(script, wants, begins):
+def recoveries(script, wants, begins, part=BACK):
     """For each trouble (what, when it began, when it was over, seconds from then until credit was back at
-    BACK of before, None where it was not within the run), in seconds from the start of traffic, `begins`."""
+    that part of before, None where it was not within the run), in seconds from the start of traffic,
+    `begins`."""
     seconds = by_second(wants)
     first = begins // SECOND
     last = first + script.seconds // SECOND
@@ -69,7 +70,7 @@
         back = None
         for second in range(first + -(-over // SECOND), last - EVEN + 1):
             share = _share(seconds, second, second + EVEN)
-            if usual is None or share is not None and share >= BACK * usual:
+            if usual is None or share is not None and share >= part * usual:
                 back = second - first - over / SECOND
                 break
         yield trouble.what, starts / SECOND, over / SECOND, None if back is None else max(0.0, round(back, 1))
@@ -90,8 +91,11 @@
         "most_connections_at_a_worker": meter.most_connections,
         "cold_budget_spent": round(meter.pushed, 3),
         "back": [
-            {"what": what, "at_s": at, "over_s": over, "after_s": after}
-            for what, at, over, after in recoveries(script, ledgers.wants, ledgers.begins)
+            {"what": what, "at_s": at, "over_s": over, "after_s": after, "half_s": half,
+             "nearly_all_s": nearly}
+            for (what, at, over, after), (*_, half), (*_, nearly) in zip(*(
+                recoveries(script, ledgers.wants, ledgers.begins, part) for part in (BACK, HALF, NEARLY_ALL)),
+                strict=True)
         ],
     }
 
@@ -110,4 +114,7 @@
            f"{said['cold_budget_spent']} of what it stands")
     for row in said["back"]:
         after = "not within the run" if row["after_s"] is None else f"{row['after_s']:g} s later"
-        yield f"{row['what']} {row['at_s']:g} to {row['over_s']:g} s: credit back {after}"
+        more = "" if row["what"] != "power" else "".join(
+            f", {told} of it {'-' if row[name] is None else format(row[name], 'g')} s"
+            for told, name in (("half", "half_s"), ("99%", "nearly_all_s")))
+        yield f"{row['what']} {row['at_s']:g} to {row['over_s']:g} s: credit back {after}{more}"
--- a/heronwinch/rehearsal/course.py
+++ b/heronwinch/rehearsal/course.py
@@ -45,6 +45,9 @@
     def __init__(self, module, record, note):
         self.module, self.record, self.note = module, record, note
 
+    def learned(self):
+        return getattr(self.module, "learned", tuple)()
+
     def handle(self, now, events):
         record = self.record
         for event in events:
--- a/heronwinch/rehearsal/explorer.py
+++ b/heronwinch/rehearsal/explorer.py
@@ -141,6 +141,29 @@
     return script
 
 
+def varied(base, seed):
+    """A script of somebody's own with its troubles at other times, longer or shorter, perhaps twice; the same
+    for the same seed."""
+    random = Random(f"vary/{seed}")
+    script = scripts.read_script(base)
+    last = int(script.seconds) - SECOND // 10
+    troubles = []
+    for trouble in script.troubles:
+        for _ in range(random.choice((1, 1, 2))):
+            changes = {"at": Span(random.randrange(min(last, SECOND), last) // MS * MS)}
+            if trouble.lasts:
+                changes["lasts"] = Span(max(MS, int(trouble.lasts * random.uniform(0.3, 1.5))) // MS * MS)
+            if trouble.what == "power":
+                changes["waves"] = random.choice((0, 3, 6))
+                changes["every"] = Span(random.choice((200, 700)) * MS if changes["waves"] else 0)
+            troubles.append(msgspec.structs.replace(trouble, **changes))
+    return msgspec.structs.replace(script, troubles=sorted(troubles, key=lambda trouble: trouble.at))
+
+
+def _drawn(seed, base):
+    return draw(seed) if base is None else varied(base, seed)
+
+
 def _trouble(random, seconds, workers, dispatchers):
     what = random.choice(WORKER_TROUBLES if random.random() < 0.6 else FLEET_TROUBLES)
     told = scripts.TROUBLES[what]
@@ -198,8 +221,8 @@
     return breaches, {"items": len(stage.ledgers.wants), "credit": tree["credit"], "digest": tree["digest"]}
 
 
-def _play_drawn(seed, fault):
-    script = draw(seed)
+def _play_drawn(seed, fault, base=None):
+    script = _drawn(seed, base)
     breaches, facts = play(script, seed, fault)
     if fault is not None:
         breaches = [breach for breach in breaches if breach.rule == EXPECTED[fault]] or breaches
@@ -272,8 +295,8 @@
     return script, tries
 
 
-def _shrink_to_file(seed, rule, fault, folder):
-    script, tries = shrink(draw(seed), seed, rule, fault)
+def _shrink_to_file(seed, rule, fault, folder, base=None):
+    script, tries = shrink(_drawn(seed, base), seed, rule, fault)
     path = pathlib.Path(folder) / f"{rule}-{seed}.toml"
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(scripts.write_script(script), encoding="utf-8")
@@ -284,20 +307,21 @@
     return seed, str(path), size, tries
 
 
-def explore(runs, jobs, first, out, fault, told):
-    """What a search found, as a tree; the same for the same seeds, however many jobs."""
+def explore(runs, jobs, first, out, fault, told, base=None):
+    """What a search found, as a tree; the same for the same seeds, however many jobs. `base`: the path of a
+    script whose troubles are varied."""
     jobs = jobs or os.cpu_count() or 1
     results = {}
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(jobs, mp_context=context) as pool:
-        waiting = [pool.submit(_play_drawn, seed, fault) for seed in range(first, first + runs)]
+        waiting = [pool.submit(_play_drawn, seed, fault, base) for seed in range(first, first + runs)]
         for n, future in enumerate(as_completed(waiting), 1):
             seed, breaches, facts, troubles = future.result()
             results[seed] = breaches, facts, troubles
             told(f"\r{n} of {runs} runs ")
         failing = [(seed, breaches) for seed, (breaches, _, _) in sorted(results.items()) if breaches]
         shrinking = [
-            pool.submit(_shrink_to_file, seed, breaches[0][0], fault, out)
+            pool.submit(_shrink_to_file, seed, breaches[0][0], fault, out, base)
             for seed, breaches in failing[:MOST_SHRUNK]
         ]
         shrunk = {}
@@ -318,7 +342,7 @@
                 "tries": tries,
             }
         )
-    drawn = [draw(seed) for seed in range(first, first + runs)]
+    drawn = [_drawn(seed, base) for seed in range(first, first + runs)]
     return {
         "runs": runs,
         "first_seed": first,
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -70,8 +70,10 @@
     assert ends[-1]["settled_s"] < seconds
 
 
-@pytest.mark.parametrize("what", TROUBLES)
-@pytest.mark.xdist_group("rig")
+# Two rigs side by side, each a lane of its own.
+@pytest.mark.parametrize("what", [
+    pytest.param(what, marks=pytest.mark.xdist_group("rig" if i % 2 else "rig-b"))
+    for i, what in enumerate(TROUBLES)])
 def test_real_processes_settle_again(what):
     script = viewed(what)
     stage = loopback.play(script, 1)
