--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,6 +1,7 @@
 """What is written down, how far it is trusted, what is owed after a loss of power and whom is asked."""
 
 import functools
+import json
 import os
 import signal
 import sqlite3
@@ -10,7 +11,7 @@
 import msgspec
 import pytest
 from click.testing import CliRunner
-from conftest import ROOT, SCRIPT, trouble
+from conftest import ROOT, SCRIPT, free_address, trouble
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -24,6 +25,7 @@
 from heronwinch.ledger.book import Book, digest
 from heronwinch.ledger.store import FORM, Store, StoreError, StoreFault
 from heronwinch.ledger.trust import Away, Clock, away, worth
+from heronwinch.plan import PlanError, read_plan
 from heronwinch.policy import Dispatcher
 from heronwinch.recovery.owed import GOES_ON, becomes
 from heronwinch.recovery.stages import GATHER as GATHERING
@@ -528,6 +530,45 @@
         assert explorer.varied(path, 5) == explorer.varied(path, 5) != explorer.varied(path, 6)
 
 
+# ---- the configuration
+
+
+@pytest.mark.parametrize("section, environ, says", [
+    ([], {}, "ledger is []; write an object with path"),
+    ({"file": "x"}, {}, "ledger.file: nothing is called so; there is path"),
+    ({"path": ""}, {}, "ledger.path is ''; write the file that the store is to be"),
+    ({"path": "x"}, {"RELAY_LISTEN_FD": "7"}, "take either out"),
+])
+def test_a_bad_section_is_one_line(tmp_path, section, environ, says):
+    path = tmp_path / "config.json"
+    tree = json.loads((ROOT / "examples" / "config.json").read_text())
+    path.write_text(json.dumps(tree | {"ledger": section}))
+    with pytest.raises(PlanError) as caught:
+        read_plan({"RELAY_CONFIG": str(path), **environ})
+    assert says in str(caught.value) and "\n" not in str(caught.value)
+    path.write_text(json.dumps(tree | {"ledger": {"path": "x"}}))
+    assert read_plan({"RELAY_CONFIG": str(path)}).ledger.path == "x"
+
+
+def test_a_store_of_another_name_or_in_use_refuses_the_start(tmp_path):
+    path = tmp_path / "config.json"
+    tree = json.loads((ROOT / "examples" / "config.json").read_text())
+    path.write_text(json.dumps(tree | {
+        "ledger": {"path": str(tmp_path / "s")}, "listen": "{}:{}".format(*free_address())}))
+
+    def refused():
+        done = subprocess.run([sys.executable, "-m", "heronwinch"], cwd=ROOT, capture_output=True, text=True,
+                              env={**os.environ, "RELAY_CONFIG": str(path)}, timeout=60)
+        assert done.returncode == 1
+        return [line for line in done.stderr.splitlines() if line.startswith("heronwinch:")]
+
+    store = kept(tmp_path / "s")
+    assert "another process has it; give each dispatcher its own" in refused()[0]
+    store.close()
+    (line,) = refused()
+    assert "kept by d0 of fleet prod, this is" in line
+
+
 # ---- every course
 
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -364,10 +364,11 @@
             "from heronwinch.start import *\n"
             "async def main():\n"
             "    Program(read_plan(os.environ), Machine(), Dispatcher, None)\n"
-            "    print(*[name for name in sys.modules if 'fleet' in name or 'msgspec' in name])\n"
+            "    words = 'fleet', 'msgspec', 'ledger', 'recovery', 'sqlite', 'concurrent.futures.thread'\n"
+            "    print(*[name for name in sys.modules if any(word in name for word in words)])\n"
             "asyncio.run(main())\n")
-    for section, wanted in ((None, False), (FLEET, True)):
-        environ = config(tmp_path, **({"fleet": section} if section else {}))
+    for sections, wanted in (({}, False), ({"fleet": FLEET}, True), ({"ledger": {"path": "x"}}, True)):
+        environ = config(tmp_path, **sections)
         done = subprocess.run([sys.executable, "-c", code], env={**os.environ, **environ}, cwd=ROOT,
                               capture_output=True, text=True)
         assert done.returncode == 0, done.stderr
