Rig: its ports are held for as long as it lives, also while a dispatcher is down

Observed: in one of two whole test runs the rig's play "no power, and again" did not settle from its start on, with three rigs side by side; alone it passed. Checked: all rules kept, the rig itself was not late. Since workers listen on all addresses, a rig beside it may be given a port on all of them that another rig's dispatcher had and is down just now, or has not bound yet: ports of dispatchers were let go before those came up (Ports.release).

--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -43,29 +43,24 @@
 
 
 class Ports:
-    """Free ports, held until all are chosen so that none is given twice; those of all addresses for as long
-    as the rig lives, as another rig would find them free while a worker is down."""
+    """Free ports, held for as long as the rig lives by sockets that do not listen. Guards against another rig
+    that takes one on all addresses while its dispatcher is down, so that it cannot come back."""
 
     def __init__(self):
-        self.held, self.kept = [], []
+        self.held = []
 
     def take(self, host=HOST):
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, 0))
-        (self.kept if host == EVERYWHERE else self.held).append(sock)
+        self.held.append(sock)
         return sock.getsockname()[1]
 
-    def release(self):
+    def close(self):
         for sock in self.held:
             sock.close()
         self.held.clear()
 
-    def close(self):
-        self.release()
-        for sock in self.kept:
-            sock.close()
-
 
 class Memory:
     """A file without a name, which others read and write by this process's descriptor of it."""
@@ -385,7 +380,6 @@
     ground = LoopbackGround(script, seed)
     try:
         stage = Stage(script, ground)
-        ground.ports.release()
         begins = ground.clock.now() + LOADED + stages.READY
         await ground.branch_out(stage, begins)
         stage.set_up(begins)
@@ -421,7 +415,6 @@
         places = take_places(script, ports)
         for n, name in enumerate(scripts.dispatcher_names(script)):
             places.moved[name, 0] = HOST, port + n
-        ports.release()
         every = Part(WORKERS, names=frozenset(places.workers))
         ground = StandInGround(script, seed, places, (Part(DISCOVERY), every))
         stage = Stage(script, ground)
