--- a/heronwinch/net/discovery.py
+++ b/heronwinch/net/discovery.py
@@ -7,7 +7,7 @@
 
 from heronwinch import interface as it
 from heronwinch.net import sockets
-from heronwinch.protocol.discovery import DiscoverySide
+from heronwinch.protocol.discovery import CutShort, DiscoverySide
 
 log = structlog.get_logger()
 
@@ -101,27 +101,25 @@
         async with self._line() as line:
             while True:
                 if self.uncertain:
-                    listing = await line.call(DiscoverySide.ask_whole, PATIENCE)
+                    listing = await self._call(line, DiscoverySide.ask_whole, PATIENCE, CutShort)
                     self.uncertain = not listing.whole
                 else:
-                    listing = await self._next(line)
+                    before = self.workers.version
+                    listing = await self._call(line, lambda side, before=before: side.watch(before, WAIT_MS),
+                                               WAIT_MS / 1000 + OVERDUE, (CutShort, TimeoutError))
+                    # It began anew and counts from the start again: what it said since may have been missed.
+                    self.uncertain = listing.version < before
                 self._tell(listing)
 
-    async def _next(self, line):
-        """The next news. A watch that falls silent is opened anew at once: what it misses counts as told 2 s
-        after its wait, and 1.5 s of patience with the pause after a failure went past that."""
-        before = self.workers.version
-        for last in (False, True):
-            try:
-                listing = await line.call(lambda side: side.watch(before, WAIT_MS), WAIT_MS / 1000 + OVERDUE)
-            except TimeoutError:
-                self.watch.count("watch_silent")
-                if last:
-                    raise
-            else:
-                # It began anew and counts from the start again: what it said since may have been missed.
-                self.uncertain = listing.version < before
-                return listing
+    async def _call(self, line, question, seconds, again):
+        """The listing that answers; after such a fault it is asked for once more, at once. A watch that fell
+        silent misses what counts as told 2 s after its wait, and what was cut short counts as told already:
+        the pause after a failure went past the moment from which that has to be heeded."""
+        try:
+            return await line.call(question, seconds)
+        except again:
+            self.watch.count("watch_broken")
+        return await line.call(question, seconds)
 
     async def _fetch(self):
         async with self._line() as line:
--- a/heronwinch/protocol/discovery.py
+++ b/heronwinch/protocol/discovery.py
@@ -34,6 +34,10 @@
     """The list is not what the operators' page describes."""
 
 
+class CutShort(BadList):
+    """An answer began and did not come to a list: what it had to tell counts as told."""
+
+
 class DiscoverySide:
     """One connection to discovery."""
 
@@ -41,6 +45,7 @@
         self.asking = Asking()
         self.buffer = Buffer(MOST_LIST)
         self.status = 0
+        self.begun = False  # whether anything of an answer has come
 
     def ask_whole(self):
         return self.asking.ask(b"GET", b"/api/targets")
@@ -50,6 +55,7 @@
 
     def feed(self, data):
         """The Listing that these bytes complete, or None. Raises BadList where none can come any more."""
+        self.begun = self.begun or bool(data)
         try:
             for event in self.asking.feed(data):
                 if type(event) is Head:
@@ -57,13 +63,14 @@
                 elif type(event) is not End:
                     self.buffer.add(event.data)
                 elif self.status == 200:
+                    self.begun = False
                     return read_listing(self.buffer.take())
                 else:
                     raise BadList(f"status {self.status}")
         except (BrokenPeer, TooLong) as fault:
-            raise BadList(str(fault)) from None
+            raise (CutShort if self.begun else BadList)(str(fault)) from None
         if not data:
-            raise BadList("the connection ended")
+            raise CutShort("the connection ended")
         return None
 
     @property
@@ -75,9 +82,11 @@
     try:
         return as_listing(json.loads(text))
     except RecursionError:
-        raise BadList("nested too deep") from None
+        raise CutShort("nested too deep") from None
+    except BadList:
+        raise
     except ValueError as fault:
-        raise BadList(f"no list: {fault}") from None
+        raise CutShort(f"no list: {fault}") from None
 
 
 def as_listing(tree):
