A client's connection is looked at right before the first byte of a hand-off

Seen by a test: a request with 20 kB of body and its client's end, both in the system before the loop came to them (a late loop, a burst that leaves), went out on an idle connection. A stream that reads ahead 8 kB pauses its transport past 16, so the end was read a turn after the hand-off's first byte (listener.Client.serve, workers._carry). Ruled out: smaller requests, where the end comes a turn earlier. Now the connection is polled right before that byte, and what is there has some turns of the loop to be heard; a client that has sent more instead is refused in them.

--- a/heronwinch/net/ledger.py
+++ b/heronwinch/net/ledger.py
@@ -63,6 +63,9 @@
 
     item = None
 
+    def stirs(self):
+        return False
+
     def finish(self, result):
         pass
 
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -138,6 +138,10 @@
         self.listener.place(self)
         self.wake(self._limit())
 
+    def stirs(self):
+        """Whether something has come of it that is not read, perhaps its end."""
+        return not sockets.is_quiet(self.reader, self.writer, self.engine.machine)
+
     # ---- what the engine has to say to the client of a work item
 
     def finish(self, result):
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -17,6 +17,7 @@
 MOST_HEARD = 8 * 1024  # bytes of an answer not at its end that are kept to be passed on
 TAIL = 1.0  # seconds that the rest of an answer may take once its last line has come
 MOST_TAIL = 64 * 1024  # bytes of it
+TURNS = 8  # of the loop, in which all that the system has of a client is read
 
 
 class Unreachable(Exception):
@@ -342,6 +343,8 @@
         try:
             recorded = sent or not ho.item.recorded or await self.engine.ledger.intent(
                 ho.item, ho.number, ho.worker, self._seconds_to(ho.until))
+            if not sent:
+                await self._client_heard(ho.item)
             moot = ho.item.ended or not recorded or self.machine.now() >= ho.until
             if not sent and (moot or self._left_long_ago(ho.worker)):
                 # While it connected the client went away, or its time or the worker's grace ran out: nothing
@@ -364,6 +367,14 @@
             if not kept:
                 self._close(connection)
 
+    async def _client_heard(self, item):
+        """Its client's connection is looked at right before the first byte: its end may be in the system
+        still, as the loop was late or more came than a stream reads ahead, and has some turns to be heard."""
+        for _ in range(TURNS):
+            if item.client is None or not item.client.stirs():
+                return
+            await asyncio.sleep(0)
+
     async def _send(self, ho, connection):
         """Whether all of it was written. The worker begins with the last byte: broken before that is written,
         the work item never ran; from then on it may have."""
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -425,6 +425,31 @@
     moment(scene, **{"limits.dial_timeout_ns": 10 * 10**9, "limits.may_cancel": may_cancel})
 
 
+@pytest.mark.parametrize("size", [2, 20_000, 60_000])
+@pytest.mark.parametrize("gone", [lambda sock: sock.close(), lambda sock: sock.shutdown(socket.SHUT_WR),
+                                  lambda sock: sock.send(b"x")], ids=["end", "half", "more"])
+def test_who_has_left_before_the_loop_came_to_it_is_not_sent_on(moment, size, gone):
+    # With more than the stream reads ahead, its end was seen a turn after the hand-off had gone out.
+    async def scene(s):
+        asked = await s.ask("/render/1")
+        call = await s.worker.calls.get()
+        call.say(done(call))
+        await asked
+        await until(lambda: s.program.workers.idle)
+        with socket.create_connection(s.address) as sock:
+            await until(lambda: s.program.listener.clients)
+            sock.sendall(s.job("/render/1", body=b"x" * size))  # all of it before the loop has another turn
+            gone(sock)
+            counts = s.program.watch.counts
+            await until(lambda: counts["client_left"] + counts["bad_request"] and not s.engine.items)
+        asked = await s.ask("/render/1")
+        call = await s.worker.calls.get()
+        call.say(done(call))
+        assert (await asked)[0] == 200
+        assert s.worker.seen == [b"job1", b"job3"]
+    moment(scene)
+
+
 def test_what_is_partly_written_when_its_client_leaves_goes_no_further(moment, monkeypatch):
     body = b"x" * 60_000
     got = []
