--- a/heronwinch/rehearsal/faults.py
+++ b/heronwinch/rehearsal/faults.py
@@ -119,6 +119,15 @@
     return _changed(workers.Workers, "start", new)
 
 
+def deaf_to_leaving():
+    """A client's end is not told to the module, and nothing looks at it before a hand-off."""
+
+    def new(old):
+        return lambda self, item: None
+
+    return _changed(engine.Engine, "leave", new)
+
+
 def wrong_result():
     """A client gets a result that is not its own."""
 
@@ -161,6 +170,7 @@
     "after-drain": after_drain,
     "overfed": overfed,
     "two-out": two_out,
+    "deaf-to-leaving": deaf_to_leaving,
     "wrong-result": wrong_result,
     "asks-all": asks_all,
     "as-if-alone": as_if_alone,
@@ -173,6 +183,7 @@
     "after-drain": "drains",
     "overfed": "cold",
     "two-out": "twice",
+    "deaf-to-leaving": "leaves",
     "wrong-result": "lost",
     "asks-all": "costs",
     "as-if-alone": "cold",
--- a/heronwinch/rehearsal/judge.py
+++ b/heronwinch/rehearsal/judge.py
@@ -11,20 +11,23 @@
 from heronwinch.interface import Effect, Group
 from heronwinch.rehearsal import script as scripts
 from heronwinch.rehearsal.meter import peak
-from heronwinch.rehearsal.standins.clients import ANSWERED, CLOSED, UNANSWERED, UNSENT
+from heronwinch.rehearsal.standins.clients import ANSWERED, CLOSED, LEFT, UNANSWERED, UNSENT
 from heronwinch.rehearsal.standins.rude import SOON
 
 SLACK = 50_000_000  # nanoseconds that sockets add to every limit
+HEEDED = 300_000_000  # nanoseconds in which a client's end is heeded
 NEVER = float("inf")
 UNMARKED = ("swallowed", "mute", "failed")  # ends that leave no mark against repeats
 LOST, TWICE, DRAINS, COLD, SOUND, COSTS = "lost", "twice", "drains", "cold", "sound", "costs"
 PARTS = "parts"
+LEAVES = "leaves"
 KEYS = "keys"
 RULES = {
     LOST: "1: no work item lost, one final answer before its expiry",
     TWICE: "2: no effect twice",
     KEYS: "2: no client's key has its effect twice, whichever dispatchers it came to",
     DRAINS: "3: nothing new past the grace",
+    LEAVES: "no work item whose client has left is sent on 0.3 s later",
     COLD: "4: no cold worker pushed over",
     COSTS: "what all dispatchers pay together stays in the script's bounds",
     PARTS: "what all dispatchers share never adds up to more than the whole (by their own logs)",
@@ -72,6 +75,7 @@
                 self._key(asks)
         for run in self.ledgers.runs:
             self._drain(run)
+            self._leave(run)
         for rude in self.ledgers.rude:
             self._rude(rude)
         for when, worker, work, age in self.ledgers.fallen:
@@ -232,6 +236,21 @@
                 )
                 return
 
+    # ---- clients that leave
+
+    def _leave(self, run):
+        ask = self.asks.get(run.job.id)
+        if (
+            ask is not None
+            and ask.how == LEFT
+            and run.first_byte > ask.ended + HEEDED + self.slack
+            and not self._excused(ask, run.first_byte)
+        ):
+            late = (run.first_byte - ask.ended) / 1e6
+            self._broken(
+                LEAVES, run.first_byte, ask.id, f"handed to {run.worker} {late:.1f} ms after its client left"
+            )
+
     # ---- bad clients
 
     def _rude(self, rude):
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -426,6 +426,8 @@
 
 
 RISKY = SCRIPT.replace("rate = 15.0", "rate = 60.0")
+# More than its workers can do, so work waits, and clients that do not.
+CROWD = SCRIPT.replace("rate = 30.0", "rate = 160.0\nimpatient = 0.5")
 PLANTED = {
     "second-copy": RISKY + trouble("fail", lasts="3s", count=2),
     "deferred-in-doubt": RISKY + trouble("fail", lasts="3s", count=2),
@@ -435,6 +437,7 @@
     "overfed": COLD.replace("push_multiple = 2.0", "push_multiple = 1.0"),
     "two-out": SCRIPT,
     "wrong-result": SCRIPT,
+    "deaf-to-leaving": CROWD,
 }
 
 
