--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -309,10 +309,10 @@
         self.listener.close()
         # What was accepted just before is on its way to a client's task, and taken. Guards against work lost
         # as it came on such a connection, or as a request begun before that came to its end here.
-        closed = self.loop.time()
-        while (now := self.loop.time()) < closed + LAST_WORDS or (
+        shut = self.loop.time()
+        while (now := self.loop.time()) < shut + LAST_WORDS or (
                 now < begun + seconds + LAST_WORDS and (self.engine.owes() or self.listener.hears())):
-            if now > closed + UNREAD and not self.listener.clients and not self.engine.owes():
+            if now > shut + UNREAD and not self.listener.clients and not self.engine.owes():
                 break
             await asyncio.sleep(LOOK_STOP)
         if passes:
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -40,6 +40,11 @@
     return CHUNKED + chunk(line.encode()) + chunk(b"")
 
 
+def listing(seq, hosts, whole=False):
+    body = json.dumps({"seq": seq, "whole": whole, "hosts": hosts}, indent=2).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
 class Call:
     """A question that has come to a peer."""
 
@@ -164,6 +169,14 @@
             return split_answer(data)
         return asyncio.create_task(answer())
 
+    async def served(self, path="/charge/1"):
+        """A job that is served; its call."""
+        asked = await self.ask(path)
+        call = await self.worker.calls.get()
+        call.say(done(call))
+        assert (await asked)[0] == 200
+        return call
+
     def troubles(self):
         counts = self.program.watch.counts
         return {name for name in counts if name.endswith("_fault") or name.startswith("broken_")}
@@ -194,10 +207,7 @@
 @pytest.mark.parametrize("late", [DECLINED, b"HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n", b"nonsense"])
 def test_a_second_answer_on_an_idle_connection_is_not_the_next_ones(moment, late):
     async def scene(s):
-        asked = await s.ask("/render/1")
-        first = await s.worker.calls.get()
-        first.say(done(first))
-        assert (await asked)[0] == 200
+        first = await s.served("/render/1")
         await until(lambda: s.program.workers.idle)
         (kept,) = s.program.workers.idle
         first.say(late)
@@ -216,10 +226,7 @@
     # A second `declined` that comes after the next hand-off was written names no work item: where that ran,
     # it went again.
     async def scene(s):
-        asked = await s.ask("/render/1")
-        first = await s.worker.calls.get()
-        first.say(done(first))
-        await asked
+        first = await s.served("/render/1")
         await until(lambda: s.program.workers.idle)
         asked = await s.ask(path, Idempotency_Key="k")
         second = await s.worker.calls.get()
@@ -235,10 +242,7 @@
 
 def test_a_connection_that_has_rested_carries_all_work(moment):
     async def scene(s):
-        asked = await s.ask("/render/1")
-        first = await s.worker.calls.get()
-        first.say(done(first))
-        await asked
+        first = await s.served("/render/1")
         await until(lambda: s.program.workers.idle)
         (kept,) = s.program.workers.idle
         kept.idle_since -= s.program.plan.terms.connect_timeout
@@ -251,10 +255,6 @@
 
 
 def test_a_list_that_comes_unasked_is_not_the_next_calls(moment):
-    def listing(seq, hosts, whole=False):
-        body = json.dumps({"seq": seq, "whole": whole, "hosts": hosts}, indent=2).encode()
-        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
-
     async def scene(s):
         async def main(line):
             asked = asyncio.create_task(line.call(lambda side: side.watch(1, 10), 10))
@@ -367,12 +367,8 @@
         await leave(reader, writer)
         await until(lambda: not s.engine.items)
         assert not s.engine.dispatcher.queue and not s.engine.dispatcher.items
-        body = json.dumps({"seq": 2, "whole": True, "hosts": [s.host]}).encode()
-        watch.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
-        asked = await s.ask()
-        call = await s.worker.calls.get()
-        call.say(done(call))
-        assert (await asked)[0] == 200
+        watch.say(listing(2, [s.host], True))
+        await s.served()
         assert s.worker.seen == [b"job2"]
         await until(lambda: not s.program.listener.clients)
     moment(scene, listed=0)
@@ -390,10 +386,7 @@
         await leave(reader, writer)
         await until(lambda: not s.engine.items)
         s.engine.dispatcher.workers[1].shut_until = 0
-        asked = await s.ask()
-        call = await s.worker.calls.get()
-        call.say(done(call))
-        assert (await asked)[0] == 200
+        await s.served()
         assert s.worker.seen == [b"job1", b"job2"]
     moment(scene)
 
@@ -417,10 +410,7 @@
         await until(lambda: all(item.ended for item in s.engine.items.values()))
         up.set()
         await until(lambda: not s.engine.items)
-        asked = await s.ask()
-        call = await s.worker.calls.get()
-        call.say(done(call))
-        assert (await asked)[0] == 200
+        await s.served()
         assert s.worker.seen == [b"job2"]
     moment(scene, **{"limits.dial_timeout_ns": 10 * 10**9, "limits.may_cancel": may_cancel})
 
@@ -431,10 +421,7 @@
 def test_who_has_left_before_the_loop_came_to_it_is_not_sent_on(moment, size, gone):
     # With more than the stream reads ahead, its end was seen a turn after the hand-off had gone out.
     async def scene(s):
-        asked = await s.ask("/render/1")
-        call = await s.worker.calls.get()
-        call.say(done(call))
-        await asked
+        await s.served("/render/1")
         await until(lambda: s.program.workers.idle)
         with socket.create_connection(s.address) as sock:
             await until(lambda: s.program.listener.clients)
@@ -442,10 +429,7 @@
             gone(sock)
             counts = s.program.watch.counts
             await until(lambda: counts["client_left"] + counts["bad_request"] and not s.engine.items)
-        asked = await s.ask("/render/1")
-        call = await s.worker.calls.get()
-        call.say(done(call))
-        assert (await asked)[0] == 200
+        await s.served("/render/1")
         assert s.worker.seen == [b"job1", b"job3"]
     moment(scene)
 
@@ -551,8 +535,7 @@
         monkeypatch.setattr(sockets, "connect", late)
         asked = await s.ask(deadline="2.0")
         await until(lambda: s.worker.count)
-        body = json.dumps({"seq": 2, "whole": False, "hosts": [s.host | {"health": "terminating"}]}).encode()
-        watch.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        watch.say(listing(2, [s.host | {"health": "terminating"}]))
         worker = s.program.workers.by_number[1]
         await until(lambda: worker.left)
         worker.left -= s.program.plan.terms.drain_grace // 2
@@ -658,13 +641,9 @@
         s.program.stop.set()
         s.program._hup()
         if answers:
-            body = json.dumps({"seq": 2, "whole": True, "hosts": [s.host]}).encode()
-            call.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+            call.say(listing(2, [s.host], True))
         await s.ready()
-        asked = await s.ask()
-        call = await s.worker.calls.get()
-        call.say(done(call))
-        assert (await asked)[0] == 200
+        await s.served()
         await s.running
         assert s.program.plan.known.version == 1 and not s.engine.owes()
     moment(scene, ready=False, discovery="pushed")
@@ -846,8 +825,7 @@
         call = await s.discovery.calls.get()
         assert not s.program.serving
         s.host["health"] = "terminating"
-        body = json.dumps({"seq": 2, "whole": True, "hosts": [s.host]}).encode()
-        call.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        call.say(listing(2, [s.host], True))
         await s.ready()
         assert s.program.workers.by_number[1].entry.standing == it.Standing.DRAINING
     moment(scene, ready=False, discovery="pushed")
