Tests of stops: a second request coming in, an answer after the last words

Taking the fixes out one by one showed two tests that did not fail for them: a stranger's first request kept the stop open by itself, so the test now has a client's second one; an answer at the very end of the last words came in time now and then.

--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -619,12 +619,17 @@
         close = s.program.listener.close
         s.program.listener.close = lambda: (close(), closed.set())
         reader, writer = await s.client()
-        asked = s.job()
+        writer.write(s.job())
+        call = await s.worker.calls.get()
+        call.say(done(call))
+        await reader.readuntil(b"ok")
+        asked = s.job()  # its second: it is no stranger any more, and between no two requests
         writer.write(asked[:-1])
         await until(s.program.listener.hears)
         s.program.stop.set()
         await asyncio.wait([asyncio.create_task(closed.wait()), s.running],
                            timeout=course.NEW_CONNECTIONS + 0.3, return_when=asyncio.FIRST_COMPLETED)
+        assert not closed.is_set()  # it goes on as with work that it holds
         writer.write(asked[-1:])
         call = await s.worker.calls.get()
         call.say(done(call))
@@ -659,7 +664,7 @@
         await closed.wait()
         writer.write(s.job())
         call = await s.worker.calls.get()
-        await asyncio.sleep(course.LAST_WORDS)  # so long it would have waited for any client
+        await asyncio.sleep(course.LAST_WORDS + 0.05)  # longer than it waits for any client
         call.say(done(call))
         assert (await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200")
     rows = [{**row, "due_time_ns": 10**9, "expiry_ns": 2 * 10**9} for row in BASE["settings"]["categories"]]
