Rehearsal: what a worker never answers is out no more once it has ended

Traced: w2 swallowed work (mute) and was shrunk away two seconds later; its connection broke, the dispatcher had a reset and handed the rerunnable work item on 2 ms later, as it may. The worker's model ended what it ran and what it queued, not what it never says a word of (models/worker.kill), so the judge held that to be out for ever. Ruled out: the program (the reset comes from the worker's end, the old connection is closed before the next is used).

--- a/heronwinch/rehearsal/models/worker.py
+++ b/heronwinch/rehearsal/models/worker.py
@@ -123,6 +123,7 @@
         self.running = []  # heap of (finish on the progress clock, order, run)
         self.active = {}  # runs that hold slots
         self.queue = deque()
+        self.unanswered = []  # runs that it began and never says a word of
         self.notes = []  # heap of (time, order, run)
         self.order = count()
         self.news = []  # (run, what, figure), for the other side
@@ -229,6 +230,11 @@
         """All that it has ends; what ran may have had its effect."""
         for run in [*self.active, *self.queue]:
             run.ended, run.end, run.queued = now, end, False
+        for run in self.unanswered:
+            # Guards against a second run held to be beside one whose worker is no more: the judge said so of
+            # work that a worker had swallowed before it was shrunk away.
+            run.left = run.left or now
+        self.unanswered.clear()
         self.active.clear()
         self.running.clear()
         self.queue.clear()
@@ -247,6 +253,7 @@
         shape = self.shape
         if self.suffers("mute") or self.suffers("swallow"):
             run.begun, run.end = now, "mute" if self.suffers("mute") else "swallowed"
+            self.unanswered.append(run)
             if run.end == "swallowed":
                 self._tell(run, TAKEN)
         elif self.suffers("fail"):
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -80,6 +80,18 @@
         return round((run.ended - START) / MS, 3) if run.ended else None, run.end
 
 
+@pytest.mark.parametrize("fault", ["mute", "swallow"])
+def test_what_a_worker_never_answers_is_out_no_more_once_it_has_ended(fault):
+    # Guards against a judge that held the next hand-off to be a second copy beside a machine that is gone.
+    bench = Bench(slots=1)
+    bench.model.faults = {fault: 1}
+    run = bench.offer()
+    bench.go(50)
+    assert not run.left and not run.ended
+    bench.model.kill(bench.now)
+    assert run.left == bench.now
+
+
 def test_slots_and_a_queue_in_order():
     bench = Bench(slots=2, queue=2)
     runs = [bench.offer(100) for _ in range(5)]
