--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -96,8 +96,8 @@
 class Scene:
     """A program in this process, one worker and discovery."""
 
-    def __init__(self, listed, settings):
-        self.listed, self.settings = listed, settings
+    def __init__(self, listed, settings, more):
+        self.listed, self.settings, self.more = listed, settings, more
         self.worker, self.discovery = Peer(), Peer()
         self.machine = Machine()
         self.asked = 0
@@ -115,7 +115,8 @@
                 "health": "in_service", "share": 1.0, "born_ms": 0}
         self.host = host
         return tree | {"listen": "{}:{}".format(*self.address), "mgmt": "", "discovery": self.discovery.dial,
-                       "known": {"seq": 1, "whole": True, "hosts": [host] * self.listed}, **changes}
+                       "known": {"seq": 1, "whole": True, "hosts": [host] * self.listed},
+                       **self.more, **changes}
 
     def plan(self):
         return read_plan({"RELAY_CONFIG": "c"}, read=lambda _: json.dumps(self.tree()))
@@ -147,6 +148,8 @@
             await self.running
         self.program.workers.close()
         self.program.discovery.close()
+        if self.program.ledger is not None:
+            await self.program.ledger.close()
         self.program.listener.close()
         for peer in (self.worker, self.discovery):
             peer.server.close()
@@ -191,10 +194,10 @@
 @pytest.fixture
 def moment():
     """Plays a scene, a coroutine function of a Scene whose program serves."""
-    def play(scene, listed=1, ready=True, **settings):
+    def play(scene, listed=1, ready=True, more=(), **settings):
         async def main():
             async with asyncio.timeout(20):  # nothing here takes so long unless it hangs
-                async with Scene(listed, settings) as s:
+                async with Scene(listed, settings, dict(more)) as s:
                     await scene(await s.ready() if ready else s)
                     assert not s.troubles()
         asyncio.run(main())
@@ -415,6 +418,30 @@
     moment(scene, **{"limits.dial_timeout_ns": 10 * 10**9, "limits.may_cancel": may_cancel})
 
 
+@pytest.mark.parametrize("leave", LEAVINGS)
+@pytest.mark.parametrize("path", ["/charge/1", "/book/1"])
+def test_who_leaves_while_a_record_is_written_is_not_sent_on(moment, tmp_path, leave, path):
+    async def scene(s):
+        written, intent = asyncio.Event(), s.program.ledger.intent
+
+        async def late(*given):
+            recorded = await intent(*given)
+            await written.wait()
+            return recorded
+        s.program.ledger.intent = late
+        reader, writer = await s.client()
+        writer.write(s.job(path, Idempotency_Key="k"))
+        await until(lambda: s.worker.count)
+        await leave(reader, writer)
+        await until(lambda: s.engine.items and all(item.ended for item in s.engine.items.values()))
+        written.set()
+        await until(lambda: not s.engine.items)
+        s.program.ledger.intent = intent
+        await s.served()
+        assert s.worker.seen == [b"job2"]
+    moment(scene, more={"ledger": {"path": str(tmp_path / "store.db")}}, **{"limits.may_cancel": False})
+
+
 @pytest.mark.parametrize("size", [2, 20_000, 60_000])
 @pytest.mark.parametrize("gone", [lambda sock: sock.close(), lambda sock: sock.shutdown(socket.SHUT_WR),
                                   lambda sock: sock.send(b"x")], ids=["end", "half", "more"])
