--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -408,14 +408,20 @@
     return one, two, {"name": "door", "listen": "{}:{}".format(*one), "members": ["{}:{}".format(*two)]}
 
 
+async def paired(stage):
+    """Starts the stage's own dispatcher again in a fleet, and a second one beside it: the address of the
+    first, its section, the process of the second."""
+    one, two, fleet = addresses()
+    stage.process.terminate()
+    await stage.process.communicate()
+    await stage.start(fleet=fleet)
+    return one, fleet, await another(stage, fleet, one, two)
+
+
 @pytest.mark.xdist_group("rig")
 def test_two_real_dispatchers_find_each_other_and_the_door_shows_it(real_stage):
     async def scene(stage):
-        one, two, fleet = addresses()
-        stage.process.terminate()
-        await stage.process.communicate()
-        await stage.start(fleet=fleet)
-        process = await another(stage, fleet, one, two)
+        _, _, process = await paired(stage)
         try:
             async with asyncio.timeout(20):
                 while " serving 2 " not in (line := await stage.call(b"view\n")):
@@ -439,11 +445,8 @@
 @pytest.mark.xdist_group("rig")
 def test_of_two_real_processes_of_one_name_one_serves_and_the_other_says_so_once(real_stage):
     async def scene(stage):
-        one, two, fleet = addresses()
-        stage.process.terminate()
-        await stage.process.communicate()
-        await stage.start(fleet=fleet)
-        twins = [await another(stage, fleet, one, two)]
+        one, fleet, process = await paired(stage)
+        twins = [process]
         async with asyncio.timeout(20):
             while " serving 2 " not in await stage.call(b"view\n"):
                 await asyncio.sleep(0.1)
