Cold workers get only what they just showed room for; the judge counts from 0.1 s after a client left

Counted by what the module knew: over nine in ten of its hand-offs to workers it knew to be cold went to one that had not just shown room, though their work was such that it should have been asked first. At fault: policy._cold_may_take returned True, 'to be asked', also for work that had asked its share already; _should_ask then asks no more, _random_any takes the worker behind whose work it seems in time, and no budget is spent. Mended: who has asked its share goes to no cold worker unasked; a fresh word of no room is heeded. The model of our rehearsal's worker is as strict as before (it falls at N).

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -976,17 +976,17 @@
         work = self._work(wi)
         # Its slots full of such work, and what they end within a window on top, are less than it stands: then
         # no number of dispatchers that each take a slot just shown free can push it over, and no draw is
-        # needed. By the draw alone each looks too seldom to use its part: cold workers stood idle while a
-        # fifth of all work was deferred beside them. Covers any return of many cold workers; harm is possible
-        # where a worker says that it has room and has none, so not in doubt.
+        # needed. By the draw alone cold workers stood idle while a fifth of all work was deferred.
         full = terms.may_probe and not self._alone() and work <= (
             (terms.push_multiple - 1) * part * terms.push_window * wi.slots)
         if full and self._shows(worker, wi.slots):
             return True
         if self.random.random() > part:
             return False  # passed over by chance, less often as it warms
-        if full and not self._known(worker):
-            return True  # to be asked
+        if not self._alone() and self._known(worker):
+            return False  # it has just shown no room: what is spent of a budget now comes on top of its slots
+        if full:
+            return wi.asks < terms.most_hand_offs  # to be asked: who has asked its share went there unasked
         if not self.divide:
             return False  # others may have shared it all out already
         pushed = worker.pushed
--- a/heronwinch/rehearsal/judge.py
+++ b/heronwinch/rehearsal/judge.py
@@ -15,7 +15,7 @@
 from heronwinch.rehearsal.standins.rude import SOON
 
 SLACK = 50_000_000  # nanoseconds that sockets add to every limit
-HEEDED = 300_000_000  # nanoseconds in which a client's end is heeded
+HEEDED = 100_000_000  # nanoseconds in which a client's end is heeded
 NEVER = float("inf")
 UNMARKED = ("swallowed", "mute", "failed")  # ends that leave no mark against repeats
 LOST, TWICE, DRAINS, COLD, SOUND, COSTS = "lost", "twice", "drains", "cold", "sound", "costs"
@@ -27,7 +27,7 @@
     TWICE: "2: no effect twice",
     KEYS: "2: no client's key has its effect twice, whichever dispatchers it came to",
     DRAINS: "3: nothing new past the grace",
-    LEAVES: "no work item whose client has left is sent on 0.3 s later",
+    LEAVES: "no work item whose client has left is sent on, or on again, 0.1 s later",
     COLD: "4: no cold worker pushed over",
     COSTS: "what all dispatchers pay together stays in the script's bounds",
     PARTS: "what all dispatchers share never adds up to more than the whole (by their own logs)",
