--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -462,6 +462,24 @@
     moment(scene)
 
 
+def test_who_leaves_in_the_turn_of_a_refusal_is_not_sent_on_again(moment):
+    """Both were there before the loop came to either, as when it is late."""
+    async def scene(s):
+        counts = s.program.watch.counts
+        await s.served("/render/1")
+        await until(lambda: s.program.workers.idle)
+        for number in range(2, 12):
+            with socket.create_connection(s.address) as sock:
+                await until(lambda: s.program.listener.clients)
+                sock.sendall(s.job("/render/1", body=b"x" * 20_000))
+                call = await s.worker.calls.get()
+                call.say(DECLINED)
+                sock.shutdown(socket.SHUT_WR)
+                await until(lambda count=number - 1: counts["client_left"] == count and not s.engine.items)
+        assert s.worker.seen == [b"job%d" % number for number in range(1, 12)]
+    moment(scene)
+
+
 def test_what_is_partly_written_when_its_client_leaves_goes_no_further(moment, monkeypatch):
     body = b"x" * 60_000
     got = []
