--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -983,7 +983,7 @@
             return True
         if self.random.random() > part:
             return False  # passed over by chance, less often as it warms
-        if not self._alone() and self._known(worker):
+        if not self._alone() and self._known(worker) and not self._shows(worker, wi.slots):
             return False  # it has just shown no room: what is spent of a budget now comes on top of its slots
         if full:
             return wi.asks < terms.most_hand_offs  # to be asked: who has asked its share went there unasked
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -98,12 +98,19 @@
     assert any(allowed(worker, wi) for _ in range(300))  # it is asked first
 
 
-def test_no_budget_is_spent_on_a_cold_worker_that_has_just_shown_no_room(drive):
-    d = cold(drive, push_multiple=40.0)
-    worker, allowed = d.dispatcher.workers[1], d.dispatcher._allowed
-    d.arrive(1, after=50)
-    wi = d.dispatcher.items[1]
-    for free in (0, 1):
-        d.do(it.Probed(1, 2 * MS, Outcome.OK, report(free)))
-        assert wi.hos or any(allowed(worker, wi) for _ in range(300)) == bool(free)
-    assert d.sent(1) == [1]
+@pytest.mark.parametrize("running", [100, 3000])
+def test_nothing_goes_to_a_cold_worker_that_has_just_shown_no_room(drive, running):
+    """Work that its slots bound goes by what was shown alone, longer work by this one's part of the
+    budget, but not on top of full slots."""
+    used = []
+    for free in (0, 4):
+        d = drive(may_probe=True, dispatchers=2, workers=[entry(1, started_at=1_000_000 * MS)],
+                  push_multiple=6.0)
+        for shown in (4, free):
+            d.do(it.Probed(1, 2 * MS, Outcome.OK, report(shown, slots=4)), after=OPEN_AFTER)
+        d.dispatcher.run = d.dispatcher.rows[0].run = running * MS
+        d.arrive(1, after=50)
+        wi, worker = d.dispatcher.items[1], d.dispatcher.workers[1]
+        d.do(it.Probed(1, 2 * MS, Outcome.OK, report(free, slots=4)))
+        used.append(bool(wi.hos) or any(d.dispatcher._allowed(worker, wi) for _ in range(300)))
+    assert used == [False, True]
