--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -512,7 +512,7 @@
     script = powered("all")
     own = msgspec.structs.replace(script.dispatchers, ledger=False)
     bare = msgspec.structs.replace(script, dispatchers=own)
-    for seed in (8, 9):
+    for seed in (2, 9):
         stage, _ = rehearse(bare, seed, Dispatcher)
         assert "keys" in {breach.rule for breach in account(bare, seed, "module", stage.ledgers)[1]}
 
