--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -53,9 +53,8 @@
 
 @pytest.fixture
 def windows(monkeypatch):
-    """For each hand-off that a cold worker took: what it was sent in the window up to then, in
-    calls of mean work, and N. What falls
-    over goes on here, so that all of the day is seen."""
+    """For each hand-off that a cold worker took: what it was sent in the window up to then, in calls of mean
+    work, and N. What falls over goes on here, so that all of the day is seen."""
     seen, calls = [], {}
 
     def push(self, now, job):
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -146,14 +146,22 @@
     assert late(ground, seed) == []
 
 
-@pytest.mark.parametrize("fault", ["the old wait", "the old pause"])
-def test_a_wait_or_a_pause_that_is_too_long_is_found(ground, monkeypatch, fault):
-    if fault == "the old wait":
-        monkeypatch.setattr(discovery, "WAIT_MS", (10_000, 10_000))
-        monkeypatch.setattr(discovery, "OVERDUE", 1.0)
-    else:
-        monkeypatch.setattr("heronwinch.policy.TOLD", 60 * SECOND)
-    assert any(late(ground, seed, connect_timeout=1000 * MS) for seed in range(12))
+def test_the_old_wait_is_found(ground, monkeypatch):
+    monkeypatch.setattr(discovery, "WAIT_MS", (10_000, 10_000))
+    monkeypatch.setattr(discovery, "OVERDUE", 1.0)
+    assert all(late(ground, seed) for seed in range(12))
+
+
+def test_no_pause_after_failures_is_longer_than_half_of_the_time_after_which_all_counts_as_told(drive):
+    pauses = []
+    for seed in range(48):
+        d = drive(seed=seed, pushed_list=False, connect_timeout=250 * MS)
+        for _ in range(8):
+            before = len(d.timers)
+            d.do(it.Listed(it.ListKind.FAILED, 0, ()))
+            pauses.append(d.timers[before][0] - d.now)
+            d.do(after=5000)
+    assert it.TOLD / 3 < max(pauses) <= it.TOLD / 2
 
 
 # ---- where discovery turns a dispatcher away for longer than that
