rehearsal: the rig leaves its processes' priorities as they are

Operators rule out raised priority; the rig asked for nice -10 for itself, its stand-ins and its proxy.

--- a/heronwinch/rehearsal/fault_proxy.py
+++ b/heronwinch/rehearsal/fault_proxy.py
@@ -11,7 +11,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import socket
 import struct
 import sys
@@ -20,7 +19,6 @@
 IP_PKTINFO = 8  # the module socket has it only since Python 3.14
 PKTINFO = struct.Struct("=I4s4s")  # interface, local address, destination address
 MAX_DATAGRAMS_PER_TURN = 64  # datagrams read in one event loop turn
-PRIORITY = -10  # nice value: the proxy runs before the dispatchers, where the system allows it
 CHUNK_BYTES = 64 * 1024
 CUT_CHECK_SECONDS = 0.02  # interval of checks whether a partition has ended
 STREAM_LIMIT_SECONDS = 300.0  # a stream is given up after this time, also one held up by a partition
@@ -179,8 +177,6 @@
 
 async def main(stream_fd, datagram_fd, port, subnet, seed):
     """Forwards traffic until standard input ends, then writes the counts to standard output."""
-    with contextlib.suppress(OSError):
-        os.setpriority(os.PRIO_PROCESS, 0, PRIORITY)
     proxy = FaultProxy(int(port), int(subnet), seed)
     await proxy.listen(socket.socket(fileno=int(stream_fd)), socket.socket(fileno=int(datagram_fd)))
     reader = asyncio.StreamReader()
--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -29,7 +29,6 @@
 from heronwinch.rehearsal.spawner import DispatcherSpawner, spawn_module
 from heronwinch.rehearsal.standin_process import (
     DISCOVERY,
-    PRIORITY,
     WORKERS,
     RigAddresses,
     StandInEnvironment,
@@ -446,8 +445,6 @@
         traffic_begins_at = environment.clock.now() + STAND_IN_LOAD_NS + runners.START_UP_NS
         await environment.start_standins(runner, traffic_begins_at)
         runner.set_up(traffic_begins_at)
-        with contextlib.suppress(OSError):
-            os.setpriority(os.PRIO_PROCESS, 0, PRIORITY)
         environment.measure_lag()
         ends_at = traffic_begins_at + int(script.seconds) + runner.compute_tail_ns()
         while (time_left := ends_at - environment.clock.now()) > 0:
--- a/heronwinch/rehearsal/standin_process.py
+++ b/heronwinch/rehearsal/standin_process.py
@@ -10,10 +10,8 @@
 that the rig itself has started, so its parent may load them."""
 
 import asyncio
-import contextlib
 import gc
 import json
-import os
 import pickle
 import resource
 import sys
@@ -33,7 +31,6 @@
 TOLERATED_LAG_SECONDS = 0.05
 # Name of the disturbance that is recorded while the rig's own process lags for longer than that.
 MACHINE_STALLED = "the machine stood still"
-PRIORITY = -10  # nice value: rig, stand-ins and proxy run before dispatchers, where the system allows it
 CLIENTS, WORKERS, DISCOVERY = "clients", "workers", "discovery"
 # Work items a second that one process of clients, or of workers, is given.
 RATE_PER_CLIENT_PROCESS, RATE_PER_WORKER_PROCESS = 120.0, 160.0
@@ -378,8 +375,6 @@
 
 
 async def main():
-    with contextlib.suppress(OSError):
-        os.setpriority(os.PRIO_PROCESS, 0, PRIORITY)
     loop = asyncio.get_running_loop()
     script, seed, addresses, share = pickle.load(sys.stdin.buffer)  # written by the parent process
     gc.freeze()
