Log why work goes to a server in slow start, why it fails, and steps of the clock

New lines: slow_start_hand_off, hand_off_failed, work_item_deferred/written_off/left with the id and why, worker_changed, clock_stepped, and every ten seconds the state of the decisions. At most 20 of a kind a second, the rest counted. The module tells the reason with its HandOff; nothing is decided differently.

--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -5,7 +5,7 @@
 item's hand-offs. This module makes no decisions; heronwinch/policy.py does.
 """
 
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
 SECOND = 1_000_000_000  # nanoseconds
@@ -326,6 +326,23 @@
 # ---- actions
 
 
+class SlowStartReason(StrEnum):
+    """Why a hand-off to a worker in slow start was allowed."""
+
+    REPORT = "report"  # the worker had just reported a free slot
+    BUDGET = "budget"  # it was within this dispatcher's part of the worker's budget
+    DRAW = "draw"  # this dispatcher's part is less than one work item, and it won the draw
+
+
+class SlowStartNote(NamedTuple):
+    """What a hand-off to a worker in slow start was allowed by, for the log."""
+
+    reason: SlowStartReason
+    worker_age: int  # time since the worker's start, as this dispatcher takes it
+    recent_count: int  # own hand-offs to the worker within the push window, without this one
+    budget: float  # own part of the work that the worker may be sent in a push window, in calls
+
+
 class HandOff(NamedTuple):
     """Send a work item to a worker."""
 
@@ -334,6 +351,7 @@
     until: int  # the clock time at which to give up the hand-off; 0: at the work item's expiry
     # Time for the worker to confirm that it has the work item, if workers report that; 0: no limit.
     patience: int = 0
+    slow_start: SlowStartNote | None = None  # only for a worker in slow start
 
 
 class Defer(NamedTuple):
@@ -389,3 +407,20 @@
 
 class Fetch(NamedTuple):
     """Ask discovery for a list of workers once."""
+
+
+# ---- state for the log
+
+
+class ModuleState(NamedTuple):
+    """The state of a dispatcher's decisions at one moment; durations in nanoseconds."""
+
+    ready: int  # workers listed as ready
+    slow_start: int  # those of them that are in slow start
+    closed: int  # those of them that count as closed after a failure
+    queued: int  # work items that wait for an open worker
+    in_flight: int  # hand-offs without an answer
+    is_doubting_reports: bool  # whether load reports are taken to be out of date
+    mean_run_time: int  # learned; 0 if there is no sample yet
+    epoch: int  # the paper's T
+    load: float  # the part of all slots that reports show as taken
--- /dev/null
+++ b/heronwinch/net/diagnostics.py
@@ -0,0 +1,139 @@
+"""Log lines that name single work items, workers and clock changes, at a bounded rate.
+
+The counters (net/counters.py) say how often something happened. These lines say to which work item and
+worker it happened and why, so that one request can be followed through the logs of all dispatchers.
+"""
+
+import structlog
+
+from heronwinch import interface
+
+log = structlog.get_logger()
+
+MAX_LINES_PER_SECOND = 20  # of each kind; the rest are only counted
+# A wall clock that is steered runs at most 500 us a second off; a larger change is a step.
+MIN_CLOCK_STEP_NS = 50_000_000
+
+
+class LineLimiter:
+    """Limits log lines of each kind to so many in a second of the clock."""
+
+    def __init__(self, machine, counters):
+        self.machine, self.counters = machine, counters
+        self.second = 0
+        self.counts = {}  # kind -> lines in the current second
+
+    def allows(self, kind):
+        """Whether one more line of this kind may be written now; one that may not is counted."""
+        second = self.machine.now() // interface.SECOND
+        if second != self.second:
+            self.second, self.counts = second, {}
+        count = self.counts[kind] = self.counts.get(kind, 0) + 1
+        if count > MAX_LINES_PER_SECOND:
+            self.counters.count("lines_left_out")
+            return False
+        return True
+
+
+class WorkerLog:
+    """Writes the log lines on workers and the hand-offs to them."""
+
+    def __init__(self, machine, counters):
+        self.machine, self.counters = machine, counters
+        self.limiter = LineLimiter(machine, counters)
+
+    def log_slow_start_hand_off(self, item, ho_number, host, note):
+        """A work item is handed to a worker in slow start; `note` is the module's SlowStartNote."""
+        self.counters.count("slow_start_" + note.reason)
+        if self.limiter.allows("slow_start_hand_off"):
+            log.info(
+                "slow_start_hand_off",
+                id=item.job.id.decode("latin-1"),
+                attempt=ho_number + 1,
+                worker=host,
+                why=note.reason,
+                age_ms=note.worker_age // 1_000_000,
+                recent=note.recent_count,
+                budget=round(note.budget, 3),
+            )
+
+    def log_failed_hand_off(self, item, ho_number, host, outcome, elapsed):
+        """A hand-off ended without a result, after `elapsed` nanoseconds."""
+        if self.limiter.allows("hand_off_failed"):
+            log.info(
+                "hand_off_failed",
+                id=item.job.id.decode("latin-1"),
+                attempt=ho_number + 1,
+                worker=host,
+                outcome=outcome.name.lower(),
+                elapsed_ms=elapsed // 1_000_000,
+            )
+
+    def log_worker_change(self, host, old_entry, entry, version):
+        """Discovery lists a worker for the first time, as started anew, or in another state."""
+        if self.limiter.allows("worker_changed"):
+            age = self.machine.now() - entry.started_at if entry.started_at else 0
+            log.info(
+                "worker_changed",
+                worker=host,
+                was=_name_standing(old_entry),
+                now=_name_standing(entry),
+                started_ms=entry.started_at // 1_000_000,
+                age_ms=age // 1_000_000,
+                version=version,
+            )
+
+
+class AnswerLog:
+    """Writes the log lines on work items that end without a result."""
+
+    def __init__(self, machine, counters):
+        self.machine = machine
+        self.limiter = LineLimiter(machine, counters)
+
+    def log_unserved(self, item, answer, most_hand_offs, is_stopping):
+        """A work item is deferred or written off, or its client has left (`answer` is None)."""
+        kind = {interface.Defer: "deferred", interface.WriteOff: "written_off"}.get(type(answer), "left")
+        if self.limiter.allows("work_item_" + kind):
+            now = self.machine.now()
+            log.info(
+                "work_item_" + kind,
+                id=item.job.id.decode("latin-1"),
+                why=self._explain_end(item, answer, most_hand_offs, is_stopping, now),
+                attempts=len(item.outcomes),
+                waited_ms=(now - item.accepted_at) // 1_000_000,
+                left_ms=(item.expiry - now) // 1_000_000,
+            )
+
+    def _explain_end(self, item, answer, most_hand_offs, is_stopping, now):
+        """Returns why a work item got no result, by what the engine knows of it."""
+        if answer is None:
+            return "client_left"
+        if len(item.outcomes) >= most_hand_offs:
+            return "attempts_used_up"
+        if is_stopping:
+            return "stopping"
+        if now >= item.expiry:
+            return "expired"
+        return "outcome_unknown" if type(answer) is interface.WriteOff else "no_worker_in_time"
+
+
+class WallClockMonitor:
+    """Notices steps of the system's wall clock."""
+
+    def __init__(self, machine, counters):
+        self.machine, self.counters = machine, counters
+        self.wall_clock_offset = machine.read_wall_clock_offset()
+
+    def check(self):
+        """Logs and counts a step of the wall clock since the last check."""
+        offset = self.machine.read_wall_clock_offset()
+        step, self.wall_clock_offset = offset - self.wall_clock_offset, offset
+        if abs(step) >= MIN_CLOCK_STEP_NS:
+            self.counters.count("clock_stepped")
+            log.warning("clock_stepped", by_ms=step // 1_000_000)
+
+
+def _name_standing(entry):
+    """Returns the name of a listed worker's state for the log."""
+    return "unlisted" if entry is None else interface.Standing(entry.standing).name.lower()
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -6,6 +6,7 @@
 import structlog
 
 from heronwinch import interface
+from heronwinch.net.diagnostics import AnswerLog
 from heronwinch.net.identifiers import NumberPool, RecentIds
 from heronwinch.protocol.clients import AdmissionRules, encode_path_segment
 
@@ -66,6 +67,7 @@
         self.random = Random(seed)
         self.machine = machine
         self.counters = counters
+        self.answer_log = AnswerLog(machine, counters)
         self.loop = asyncio.get_running_loop()
         self.category_numbers = {encode_path_segment(name): i for i, name in enumerate(names.categories)}
         self.key_numbers = NumberPool()
@@ -296,6 +298,24 @@
         learned = getattr(self.module, "get_learned_run_times", None)
         return learned() if learned is not None else ()
 
+    def log_module_state(self):
+        """Logs the state of the module's decisions, if it tells it."""
+        read_state = getattr(self.module, "read_state", None)
+        state = read_state() if read_state is not None else None
+        if state is not None:
+            log.info(
+                "state",
+                ready=state.ready,
+                slow_start=state.slow_start,
+                closed=state.closed,
+                queued=state.queued,
+                in_flight=state.in_flight,
+                doubting=state.is_doubting_reports,
+                run_ms=state.mean_run_time // 1_000_000,
+                epoch_ms=state.epoch // 1_000_000,
+                load=round(state.load, 2),
+            )
+
     def handle_pending_events(self):
         """Passes the queued events to the module now, not in the next event loop turn."""
         if self.events:
@@ -396,6 +416,8 @@
             self.items_to_drop.append(item)
             self.post(moot)
             return
+        if action.slow_start is not None:
+            self.workers.log_slow_start(item, ho_number, action.worker, action.slow_start)
         until = min(action.until, item.expiry) if action.until else item.expiry
         self.workers.start_hand_off(item, ho_number, action.worker, until, action.patience)
 
@@ -430,6 +452,8 @@
         item.expiry_timer.cancel()
         client, item.client = item.client, None
         self.key_numbers.release(item.job.key)
+        if answer != interface.Outcome.OK:
+            self.answer_log.log_unserved(item, answer, self.terms.most_hand_offs, self.stop_at is not None)
         if item.in_ledger:
             self.ledger.record_final_answer(item, answer, result, client)
         else:
--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -35,12 +35,16 @@
     the starts of workers in Unix time, and the system's wall clock may be set while the dispatcher runs."""
 
     def __init__(self):
-        self.offset = time.time_ns() - time.monotonic_ns()
+        self.offset = self.read_wall_clock_offset()
 
     def now(self):
         """Returns the clock time in nanoseconds."""
         return time.monotonic_ns() + self.offset
 
+    def read_wall_clock_offset(self):
+        """Returns by how many nanoseconds the system's wall clock is ahead of its monotonic clock."""
+        return time.time_ns() - time.monotonic_ns()
+
     def read_clock(self):
         """Returns the clocks by which a ledger determines how long the process was down (ledger/downtime.py).
         Called only if there is a ledger."""
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -7,6 +7,7 @@
 
 from heronwinch import interface
 from heronwinch.net import sockets
+from heronwinch.net.diagnostics import WorkerLog
 from heronwinch.protocol.discovery import ListedWorker, Listing
 from heronwinch.protocol.workers import Completion, ProgressNote, WorkerProtocol
 
@@ -88,6 +89,10 @@
         if self.outcome is None:
             self.outcome = completion.outcome
             elapsed = self.workers.machine.now() - self.begun_at
+            if self.outcome != interface.Outcome.OK:
+                self.workers.log.log_failed_hand_off(
+                    self.item, self.number, self.worker.host, self.outcome, elapsed
+                )
             self.workers.engine.record_outcome(
                 self.item, self.number, self.worker.number, completion, elapsed
             )
@@ -102,6 +107,7 @@
         self.max_connections = max_connections
         self.machine = machine
         self.counters = counters
+        self.log = WorkerLog(machine, counters)
         self.area_numbers = {name: i for i, name in enumerate(names.areas)}
         self.kind_numbers = {name: i for i, name in enumerate(names.kinds)}
         self.last_number = 0  # number of the worker listed last; a number is never reused
@@ -246,12 +252,22 @@
     def _update_entry(self, worker, entry, told_at):
         """Updates a worker to a listed entry, and since when it has been leaving."""
         was_ready = worker.entry is None or worker.entry.standing == interface.Standing.READY
+        if self._is_noteworthy(worker.entry, entry):
+            self.log.log_worker_change(worker.host, worker.entry, entry, self.version)
         if was_ready and entry.standing != interface.Standing.READY:
             worker.left_at = told_at
         worker.entry = entry
         if entry.standing == interface.Standing.GONE:
             self._close_idle_connections_to(worker)
 
+    def _is_noteworthy(self, old_entry, entry):
+        """Whether a list shows a worker in another state or as started anew; of the workers listed for the
+        first time, those that are not ready or in slow start."""
+        if old_entry is not None:
+            return entry.standing != old_entry.standing or entry.started_at != old_entry.started_at
+        is_in_slow_start = self.machine.now() - entry.started_at < self.terms.warm_up
+        return entry.standing != interface.Standing.READY or is_in_slow_start
+
     def _forget_gone_workers(self):
         """Removes workers that have been gone for long and have no hand-off or probe in flight, as machines
         come and go."""
@@ -281,6 +297,10 @@
 
     # ---- actions
 
+    def log_slow_start(self, item, ho_number, worker_number, note):
+        """Logs why a hand-off to a worker in slow start was allowed."""
+        self.log.log_slow_start_hand_off(item, ho_number, self.by_number[worker_number].host, note)
+
     def start_hand_off(self, item, ho_number, worker_number, until, patience):
         """Hands a work item off to a worker. `until` is the clock time at which to give up, `patience` the
         nanoseconds within which the worker has to respond; 0: no such limit."""
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -30,6 +30,7 @@
     Left,
     Listed,
     ListKind,
+    ModuleState,
     Noted,
     Outcome,
     PlannedStop,
@@ -37,6 +38,8 @@
     Probed,
     Rang,
     SetTimer,
+    SlowStartNote,
+    SlowStartReason,
     Standing,
     Subscribe,
     TermsChange,
@@ -668,6 +671,7 @@
         if worker.connections_idle_since:
             worker.connections_idle_since.pop()
         ho.had_shown_room = self._has_just_shown_room(worker, wi.slots)
+        slow_start = self._describe_slow_start(worker, wi) if self._is_cold(worker) else None
         self._record_hand_off(ho)
         if self.last_hand_off_at:
             gap = now - self.last_hand_off_at
@@ -682,7 +686,7 @@
             for other in self._sample_workers(self.ready_workers)
         )
         patience = self.terms.connect_timeout // 2 if may_leave_worker else 0
-        self.actions.append(HandOff(wi.id, worker.id, 0, patience))
+        self.actions.append(HandOff(wi.id, worker.id, 0, patience, slow_start))
         if self.terms.progress_interval:
             self._check_progress(ho)
 
@@ -1337,6 +1341,33 @@
             worker.is_cold_draw_won = self.random.random() * 2 * work < budget
         return worker.is_cold_draw_won and not pushes
 
+    def _describe_slow_start(self, worker, wi):
+        """Returns the SlowStartNote of a hand-off that is about to go to a cold worker."""
+        terms, age, work = self.terms, self.now - worker.started_at, self._estimate_work(wi)
+        capacity_share = terms.cold_share + (1 - terms.cold_share) * max(0, age) / terms.warm_up
+        budget = terms.push_multiple * capacity_share * self._estimate_min_slots(worker) * terms.push_window
+        budget /= self.budget_divisor or 1
+        if self._has_just_shown_room(worker, wi.slots):
+            reason = SlowStartReason.REPORT
+        else:
+            reason = SlowStartReason.BUDGET if work <= budget else SlowStartReason.DRAW
+        recent_count = sum(pushed_at > self.now - terms.push_window for pushed_at, _ in worker.cold_pushes)
+        return SlowStartNote(reason, age, recent_count, budget / work)
+
+    def read_state(self):
+        """Returns the ModuleState, for the log."""
+        return ModuleState(
+            ready=len(self.ready_workers),
+            slow_start=sum(map(self._is_cold, self.ready_workers)),
+            closed=sum(worker.closed_until > self.now for worker in self.ready_workers),
+            queued=len(self.queue),
+            in_flight=sum(wi.in_flight for wi in self.work_items.values()),
+            is_doubting_reports=self.is_doubting_reports,
+            mean_run_time=int(self.mean_run_time),
+            epoch=self.T,
+            load=self.reported_load,
+        )
+
     def _estimate_min_slots(self, worker):
         """Returns the slots that a worker has at least: the most it has shown, else the fewest of others."""
         return worker.slots or min((w.slots for w in self.ready_workers if w.slots), default=1)
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -8,6 +8,7 @@
 
 from heronwinch import interface
 from heronwinch.net.counters import FaultCounters
+from heronwinch.net.diagnostics import WallClockMonitor
 from heronwinch.net.discovery import Discovery
 from heronwinch.net.engine import Engine
 from heronwinch.net.handover import HandoverReceiver, HandoverSender
@@ -39,7 +40,8 @@
 # Descriptors reserved for a ledger: its database, WAL and lock, and one more set while it is rewritten.
 LEDGER_DESCRIPTORS = 8
 FLEET_DESCRIPTORS = 16  # reserved for connections to other dispatchers; net/fleet.py keeps to this
-FAULT_SUMMARY_SECONDS = 10.0  # interval of log lines that sum up the faults counted
+FAULT_SUMMARY_SECONDS = 10.0  # interval of log lines that sum up the faults counted and the state
+CLOCK_CHECK_SECONDS = 1.0  # interval of checks for a step of the wall clock
 
 
 class StartupError(OSError):
@@ -187,7 +189,8 @@
         )
         self._run_periodically(IDLE_SWEEP_SECONDS, self.workers.close_unfit_idle_connections)
         self._poll_overlap()
-        self._run_periodically(FAULT_SUMMARY_SECONDS, self.counters.log_summary)
+        self._run_periodically(FAULT_SUMMARY_SECONDS, self._log_summary)
+        self._run_periodically(CLOCK_CHECK_SECONDS, WallClockMonitor(self.machine, self.counters).check)
         await self.stop_event.wait()
         await self._shut_down()
 
@@ -312,6 +315,11 @@
         self.loop.call_later(seconds, self._run_periodically, seconds, action)
         action()
 
+    def _log_summary(self):
+        """Logs the counters of faults and the state of the decisions."""
+        self.counters.log_summary()
+        self.engine.log_module_state()
+
     def _log_uncaught(self, loop, context):
         """Handles an exception that nothing else caught: it is counted and logged, and the dispatcher goes
         on."""
--- a/heronwinch/rehearsal/recording.py
+++ b/heronwinch/rehearsal/recording.py
@@ -48,6 +48,9 @@
     def get_learned_run_times(self):
         return getattr(self.module, "get_learned_run_times", tuple)()
 
+    def read_state(self):
+        return getattr(self.module, "read_state", lambda: None)()
+
     def handle(self, now, events):
         record = self.record
         for event in events:
--- a/heronwinch/rehearsal/simulation/process.py
+++ b/heronwinch/rehearsal/simulation/process.py
@@ -233,6 +233,9 @@
     def now(self):
         return RUN_START_UNIX_NS + self.process.kernel.now
 
+    def read_wall_clock_offset(self):
+        return RUN_START_UNIX_NS
+
     def read_clock(self):
         from heronwinch.ledger.downtime import ClockReading
 
