--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -23,6 +23,7 @@
 from heronwinch.interface import SECOND
 from heronwinch.rehearsal import runner as runners
 from heronwinch.rehearsal import script as scripts
+from heronwinch.rehearsal.clock_shim import WallClockFile
 from heronwinch.rehearsal.fault_proxy import get_advertised_address, get_member_address
 from heronwinch.rehearsal.recording import FAULT_EVENTS
 from heronwinch.rehearsal.runner import FINAL_STOP_NS, ScriptRunner
@@ -169,6 +170,7 @@
         self.ports = PortReservations()
         super().__init__(script, seed, allocate_addresses(script, self.ports), ())
         self.configs, self.logs = {}, {}  # dispatcher -> MemoryFile
+        self.wall_clocks = {}  # dispatcher -> WallClockFile
         self.spawner = DispatcherSpawner()
         self.processes = {}
         self.resource_usage = []  # (CPU seconds, bytes) of each dispatcher before the final stop
@@ -235,10 +237,11 @@
     def start_dispatcher(self, name, build_config):
         if name not in self.configs:
             self.configs[name], self.logs[name] = MemoryFile(f"{name}.json"), MemoryFile(f"{name}.log")
+            self.wall_clocks[name] = WallClockFile(f"{name}.clock")
         config = self.configs[name]
         config.write(json.dumps(build_config()).encode())
         log = os.open(self.logs[name].path(), os.O_WRONLY | os.O_APPEND)
-        self.processes[name] = self.spawner.start(config.descriptor, log)
+        self.processes[name] = self.spawner.start(config.descriptor, log, self.wall_clocks[name].descriptor)
         os.close(log)
 
     def kill_dispatcher(self, name):
@@ -259,6 +262,9 @@
         if self.processes[name].poll() is None:
             self.processes[name].send_signal(signal.SIGSTOP if suspended else signal.SIGCONT)
 
+    def step_wall_clock(self, name, step_ns):
+        self.wall_clocks[name].step(step_ns)
+
     def get_store_path(self, name):
         if self.store_folder is None:
             # A process that outlives the rig removes the folder, however the rig ends.
@@ -427,7 +433,7 @@
                 if any(marker in line for marker in FAULT_MARKERS)
             ]
         self.view_log_events = sorted(self.iterate_view_events(), key=lambda event: event[0])
-        for memory in [*self.logs.values(), *self.configs.values()]:
+        for memory in [*self.logs.values(), *self.configs.values(), *self.wall_clocks.values()]:
             memory.close()
 
 
--- a/heronwinch/rehearsal/script.py
+++ b/heronwinch/rehearsal/script.py
@@ -229,6 +229,12 @@
     ),
     "descriptors": TroubleKind("dispatchers", ("lasts",), description="cannot open further file descriptors"),
     "disk": TroubleKind("dispatchers", ("lasts",), description="its disk accepts no writes"),
+    "clock-ahead": TroubleKind(
+        "dispatchers", ("by",), ("lasts",), "its machine's wall clock is set forward, and back after `lasts`"
+    ),
+    "clock-back": TroubleKind(
+        "dispatchers", ("by",), ("lasts",), "its machine's wall clock is set back, and forward after `lasts`"
+    ),
     "power": TroubleKind(
         "",
         ("lasts",),
--- a/heronwinch/rehearsal/simulation/process.py
+++ b/heronwinch/rehearsal/simulation/process.py
@@ -224,17 +224,19 @@
 class SimulatedMachine:
     """The interface of net/machine.py on the simulated clock, network and files of a process.
 
-    `commit_ns` is how many nanoseconds its disk takes for a commit.
+    `commit_ns` is how many nanoseconds its disk takes for a commit. `read_clock_step()` tells by how many
+    nanoseconds the machine's wall clock has been set so far.
     """
 
-    def __init__(self, process, commit_ns=1_000_000):
-        self.process, self.commit_ns = process, commit_ns
+    def __init__(self, process, commit_ns=1_000_000, read_clock_step=int):
+        self.process, self.commit_ns, self.read_clock_step = process, commit_ns, read_clock_step
+        self.offset = self.read_wall_clock_offset()
 
     def now(self):
-        return RUN_START_UNIX_NS + self.process.kernel.now
+        return self.offset + self.process.kernel.now
 
     def read_wall_clock_offset(self):
-        return RUN_START_UNIX_NS
+        return RUN_START_UNIX_NS + self.read_clock_step()
 
     def read_clock(self):
         from heronwinch.ledger.downtime import ClockReading
--- a/heronwinch/rehearsal/spawner.py
+++ b/heronwinch/rehearsal/spawner.py
@@ -18,8 +18,11 @@
 import subprocess
 import sys
 
+from heronwinch.rehearsal import clock_shim
+
 PR_SET_PDEATHSIG = 1
 MAX_REQUEST_BYTES = 4096
+MAX_DESCRIPTOR_BYTES = 12  # three descriptors
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 LIBC = ctypes.CDLL(None, use_errno=True)
 
@@ -114,9 +117,9 @@
         )
         spawner_sock.close()
 
-    def start(self, config, log):
-        """Starts a dispatcher; `config` is the descriptor of its configuration, `log` that of its log."""
-        socket.send_fds(self.sock, [b"start"], [config, log])
+    def start(self, config, log, wall_clock):
+        """Starts a dispatcher, given the descriptors of its configuration, its log and its wall clock."""
+        socket.send_fds(self.sock, [b"start"], [config, log, wall_clock])
         return ChildProcess(json.loads(self.sock.recv(MAX_REQUEST_BYTES)))
 
     def close(self):
@@ -124,9 +127,11 @@
         self.process.wait()
 
 
-def _run_child(config, log, sock):
+def _run_child(config, log, wall_clock, sock):
     """Runs a dispatcher in a forked process; returns its exit status."""
     sock.close()
+    clock_shim.install(wall_clock)
+    os.close(wall_clock)
     kill_with_parent()
     signal.signal(signal.SIGCHLD, signal.SIG_DFL)
     null_device = os.open(os.devnull, os.O_RDWR)
@@ -150,25 +155,27 @@
     signal.signal(signal.SIGCHLD, signal.SIG_IGN)  # the system reaps children that end
     gc.freeze()
     while True:
-        request, ancillary_data, _, _ = sock.recvmsg(MAX_REQUEST_BYTES, socket.CMSG_SPACE(8))
+        request, ancillary_data, _, _ = sock.recvmsg(
+            MAX_REQUEST_BYTES, socket.CMSG_SPACE(MAX_DESCRIPTOR_BYTES)
+        )
         if not request:
             return
         descriptors = array.array("i")
         for _, _, value in ancillary_data:
             descriptors.frombytes(value)
-        config, log = descriptors
+        config, log, wall_clock = descriptors
         pid = os.fork()
         if not pid:
             status = 1
             try:
-                status = _run_child(config, log, sock)
+                status = _run_child(config, log, wall_clock, sock)
             except BaseException:
                 sys.excepthook(*sys.exc_info())
             finally:
                 sys.stderr.flush()
                 os._exit(status)
-        os.close(config)
-        os.close(log)
+        for descriptor in descriptors:
+            os.close(descriptor)
         sock.send(json.dumps(pid).encode())
 
 
--- a/heronwinch/rehearsal/standin_process.py
+++ b/heronwinch/rehearsal/standin_process.py
@@ -334,6 +334,9 @@
 
     block_store_writes = exhaust_descriptors
 
+    def step_wall_clock(self, name, step_ns):
+        pass
+
     def get_store_path(self, name):
         return "-"
 
--- a/heronwinch/rehearsal/troubles.py
+++ b/heronwinch/rehearsal/troubles.py
@@ -350,6 +350,19 @@
     def _inject_disk(self, trouble, member):
         self._schedule(trouble.lasts, self.runner.environment.block_store_writes(member.name))
 
+    def _inject_clock_ahead(self, trouble, member):
+        self._step_wall_clock(trouble, member, int(trouble.by))
+
+    def _inject_clock_back(self, trouble, member):
+        self._step_wall_clock(trouble, member, -int(trouble.by))
+
+    def _step_wall_clock(self, trouble, member, step_ns):
+        """Sets the wall clock of a dispatcher's machine, for good or for as long as the trouble lasts."""
+        environment = self.runner.environment
+        environment.step_wall_clock(member.name, step_ns)
+        if trouble.lasts:
+            self._schedule(trouble.lasts, environment.step_wall_clock, member.name, -step_ns)
+
     # ---- the network
 
     def _inject_part(self, trouble, random):
--- a/heronwinch/rehearsal/virtual.py
+++ b/heronwinch/rehearsal/virtual.py
@@ -49,6 +49,7 @@
         self.clock = SimulatedClock(self.kernel)
         self.processes = {}  # name -> its present Process
         self.files = {}  # name -> its Files, which outlive its processes
+        self.wall_clock_steps = Counter()  # name -> nanoseconds by which its machine's wall clock was set
         self.ips = {}  # name of a worker or dispatcher -> IP address
         self.dispatcher_records = []
         self.faults = []  # (name of the process, description)
@@ -184,7 +185,9 @@
 
         async def main():
             config = read_config(ENVIRON, read=process.files.read_text)
-            machine = SimulatedMachine(process, int(self.script.dispatchers.sync))
+            machine = SimulatedMachine(
+                process, int(self.script.dispatchers.sync), lambda: self.wall_clock_steps[name]
+            )
             record.program = Program(config, machine, create_module, reload_config)
             await record.program.run()
 
@@ -230,6 +233,10 @@
         process = self.processes[name]
         process.pause() if suspended else process.resume()
 
+    def step_wall_clock(self, name, step_ns):
+        """Sets the wall clock of a dispatcher's machine by so many nanoseconds."""
+        self.wall_clock_steps[name] += step_ns
+
     def get_store_path(self, name):
         return STORE_PATH
 
