--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -1,8 +1,8 @@
 """Reads KNOWN-RED.txt: tests with a known fault, each with an open issue.
 
-A line: test | command | seed | what was seen | issue N. `deselect` prints pytest's options that leave these
-tests out of the whole run. `run` runs each and prints its result; a failure is passed over. Ends with 1
-where a name is no test, or where a test passes that isn't said to be flaky."""
+A line: test | command | seed | what was seen | issue N. `deselect` prints pytest's options, one a line, that
+leave these tests out of the whole run. `run` runs each and prints its result; a failure is passed over.
+Ends with 1 where a name is no test, or where a test passes that isn't said to be flaky."""
 
 import subprocess
 import sys
@@ -40,6 +40,6 @@
 
 if __name__ == "__main__":
     if sys.argv[1:] == ["deselect"]:
-        print(" ".join(f"--deselect {entry[0]}" for entry in read_entries()))
+        print("\n".join(f"--deselect={entry[0]}" for entry in read_entries()))
     else:
         sys.exit(run_entries(read_entries()))
