--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -230,6 +230,10 @@
             observations.load_counters.add(report["meter"])
             if share.kind == DISCOVERY:
                 observations.removals = report["told"]
+                # The list in a new configuration is told by the rig itself.
+                for key, notices in report["start_notices"].items():
+                    own_notices = observations.start_notices.setdefault(key, {})
+                    own_notices |= notices | own_notices
             observations.disturbances += report["stalls"]
 
     # ---- dispatchers
--- a/heronwinch/rehearsal/models/roster.py
+++ b/heronwinch/rehearsal/models/roster.py
@@ -47,6 +47,7 @@
         self.visible_change_count = 0  # how many of `changes` are visible
         # dispatcher -> host -> [[when it was told that the worker leaves, that it is back (or None)], ...]
         self.removal_periods = {}
+        self.start_notices = {}  # (dispatcher, host) -> {born_ms: when it was first told of that start}
         self.active_outages = 0  # outages of discovery in force
 
     def install(self, entries):
@@ -117,11 +118,19 @@
     def _build_answer(self, whole, entries):
         return {"seq": self.visible_version, "whole": whole, "hosts": [entry.to_tree() for entry in entries]}
 
+    def record_starts_told(self, now, dispatcher, tree):
+        """Records of which starts of workers a list tells a dispatcher."""
+        for entry in tree["hosts"]:
+            if entry["born_ms"]:
+                notices = self.start_notices.setdefault((dispatcher, entry["host"]), {})
+                notices.setdefault(entry["born_ms"], now)
+
     def record_told(self, now, dispatcher, tree):
         """Records that an answer was written to a dispatcher, which knows from now on who leaves.
 
         A worker that is back after it left counts as another one.
         """
+        self.record_starts_told(now, dispatcher, tree)
         periods_by_host = self.removal_periods.setdefault(dispatcher, {})
         listed_hosts = set()
         for entry in tree["hosts"]:
--- a/heronwinch/rehearsal/observations.py
+++ b/heronwinch/rehearsal/observations.py
@@ -36,8 +36,9 @@
         self.runs = []  # models.worker.RunRecord
         # dispatcher -> host -> [[when it was told that the worker leaves, when that it is back or None]]
         self.removals = {}
+        self.start_notices = {}  # (dispatcher, host) -> {born_ms: when it was first told of that start}
         self.disturbances = []  # Disturbance objects; they excuse a dispatcher from some rules
-        # (time, worker, requests that reached it in the window, its age) for each worker that collapsed
+        # models.slow_start.Collapse of each worker that collapsed
         self.fallen = []
         self.forged = []  # (worker, time, target, reason): hand-offs in a form that no client sends
         self.faults = []  # (dispatcher, text) that the program or its process reported of itself
