Slow start: a subset of the dispatchers uses each worker, whatever it reports

Cause: a free slot that such a worker had just shown was taken without any budget, by each dispatcher that saw it, so the sum had no bound. In the reproduction with late reports (60 dispatchers, 10 workers, real processes) 24 of 26 hand-offs before the first falls were of that kind, from 20 to 22 dispatchers. Besides, a dispatcher that had seen few short requests took its own part for 15 to 27 of them.

Now each start of a worker has an order of the dispatchers that all compute alike from their numbers. Those whose place is below the allowance, 0.7 of what the worker stands, use it, each within its part; what the worker reports only narrows that. A member weighs such a worker by the dispatchers that it stands for, so its capacity is used as before. A restarted dispatcher reckons with a quarter for one window. The likely work of a category starts from its due time and is learned on warm workers.

Dispatchers that ignore each other are now caught with late reports besides, as each still goes by room shown.

--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -93,6 +93,7 @@
     standing: int
     weight: float  # ignored unless above 0
     started_at: int  # 0 if it started long ago
+    key: int = 0  # the same at all dispatchers, unlike the number; 0 where the number is the same at all
 
 
 # ---- terms: the settings of one instance
@@ -329,9 +330,8 @@
 class SlowStartReason(StrEnum):
     """Why a hand-off to a worker in slow start was allowed."""
 
-    REPORT = "report"  # the worker had just reported a free slot
-    BUDGET = "budget"  # it was within this dispatcher's part of the worker's budget
-    DRAW = "draw"  # this dispatcher's part is less than one work item, and it won the draw
+    PART = "part"  # it was within this dispatcher's part of what the worker may be sent
+    LONG = "long"  # it takes more than that part, and few dispatchers may send such work
 
 
 class SlowStartNote(NamedTuple):
@@ -339,8 +339,9 @@
 
     reason: SlowStartReason
     worker_age: int  # time since the worker's start, as this dispatcher takes it
-    recent_count: int  # own hand-offs to the worker within the push window, without this one
-    budget: float  # own part of the work that the worker may be sent in a push window, in calls
+    requests: float  # its likely work, in requests of mean work
+    recent: float  # what this dispatcher had sent within the push window, in the same unit
+    own_part: float  # what it may send there in a push window
 
 
 class HandOff(NamedTuple):
--- a/heronwinch/net/diagnostics.py
+++ b/heronwinch/net/diagnostics.py
@@ -53,8 +53,9 @@
                 worker=host,
                 why=note.reason,
                 age_ms=note.worker_age // 1_000_000,
-                recent=note.recent_count,
-                budget=round(note.budget, 3),
+                requests=round(note.requests, 2),
+                recent=round(note.recent, 2),
+                own_part=round(note.own_part, 2),
             )
 
     def log_failed_hand_off(self, item, ho_number, host, outcome, elapsed):
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from zlib import crc32
 
 import structlog
 
@@ -49,10 +50,11 @@
 class Worker:
     """A worker, identified by its number; its address may change."""
 
-    __slots__ = ("number", "host", "address", "entry", "left_at", "idle_connections")
+    __slots__ = ("number", "host", "key", "address", "entry", "left_at", "idle_connections")
 
     def __init__(self, number, host):
         self.number, self.host, self.address, self.entry = number, host, None, None
+        self.key = crc32(host.encode())  # the same at all dispatchers
         self.left_at = 0  # clock time since which the worker is draining or gone
         self.idle_connections = []  # ordered, the longest idle first
 
@@ -226,6 +228,7 @@
                     listed.standing,
                     listed.weight,
                     started_at,
+                    worker.key,
                 ),
                 told_at,
             )
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -6,7 +6,7 @@
 heronwinch/interface.py; docs/design.md says which parts of the published design are kept and which differ.
 """
 
-from collections import deque, namedtuple
+from collections import namedtuple
 from math import ceil, exp, log
 from random import Random
 
@@ -46,6 +46,14 @@
     WorkerRemoval,
     WriteOff,
 )
+from heronwinch.slow_start import (
+    RESTART_SHARE,
+    Allowance,
+    DispatcherOrder,
+    SentWork,
+    compute_allowance,
+    compute_capacity_share,
+)
 
 # Timer tokens: the next call to discovery, the next scan of the waiting work items, the end of a planned
 # stop, and the first of the tokens that are counted up for single work items and hand-offs.
@@ -64,6 +72,10 @@
 # Number of workers drawn from a large fleet in one sample. If two workers in three are open, no drawn one is
 # open once in 6000 times; then the whole fleet is searched.
 WORKER_SAMPLE_SIZE = 8
+MIN_REQUEST = 0.1  # requests of less likely work, in requests of mean work, count as this
+# How long the list of usable workers in slow start holds, in nanoseconds; it changes slowly, with their ages.
+USABLE_REFRESH_NS = SECOND // 4
+MAX_RUN_SAMPLES = 64  # samples of a category's running time that count beside its due time
 
 
 def update_moving_mean(mean, value, samples):
@@ -92,16 +104,32 @@
         "mean_run_time",
         "likely_run_time",
         "run_samples",
+        "arrivals",
     )
 
     def __init__(self, category):
-        for name in self.__slots__[:-3]:
+        for name in self.__slots__[:-4]:
             setattr(self, name, getattr(category, name))
+        self.arrivals = 0  # number of work items that have arrived
         self.mean_run_time = 0.0  # mean over finished hand-offs, in ns; 0 until one has finished
         # The mean running time that also counts hand-offs which ran for longer and did not finish, and the
         # number of its samples.
         self.likely_run_time, self.run_samples = 0.0, 0
 
+    def estimate_work(self):
+        """Returns the likely running time of a work item with one slot, in ns.
+
+        One standard error of the mean is added, for running times whose deviation equals their mean. A mean
+        of few samples, or of those that ended early, would be too low and would overload workers in slow
+        start. For the same reason the due time, of which only the order of magnitude counts, stands for one
+        more sample.
+        """
+        samples = min(max(1, self.run_samples), MAX_RUN_SAMPLES)
+        likely_time = (self.likely_run_time or self.mean_run_time) * (1 + samples**-0.5)
+        if not likely_time:
+            return self.due_time
+        return likely_time * (self.due_time / likely_time) ** (1 / (1 + samples))
+
 
 class HandOffState:
     """The state of one hand-off, kept from its start on."""
@@ -201,6 +229,7 @@
 
     __slots__ = (
         "id",
+        "key",
         "area",
         "kind",
         "pod",
@@ -219,11 +248,10 @@
         "reported_at",
         "is_being_probed",
         "alert_waiters",
-        "cold_pushes",
+        "rank",
+        "sent_work",
         "connections_idle_since",
         "weight_changed_at",
-        "cold_draw_at",
-        "is_cold_draw_won",
         "weight",
         "is_refusing_connections",
         "last_serving_at",
@@ -243,9 +271,8 @@
         self.last_serving_at = 0  # when the worker last accepted work or answered a probe: not draining then
         self.is_being_probed = False
         self.alert_waiters = []  # work items that wait for the worker's busy alert
-        self.cold_pushes = deque()  # (time, work) of own hand-offs sent while the worker was cold
-        # The random draw of the current push window, which admits one work item to a cold worker or none.
-        self.cold_draw_at, self.is_cold_draw_won = -INFINITY, False
+        self.rank = 0  # place of this dispatcher among those that use it in slow start
+        self.sent_work = SentWork()
         self.weight_changed_at = now
         self.apply_entry(entry)
         self.reset_for_start(first_epoch)
@@ -256,6 +283,7 @@
         if 0 < entry.weight < INFINITY:  # any other weight is ignored and the last one stays
             self.weight = entry.weight
         self.standing, self.started_at = entry.standing, entry.started_at
+        self.key = entry.key or entry.worker
 
     def reset_for_start(self, first_epoch):
         """Resets what was known before the worker's start; it is closed up to its first update epoch."""
@@ -272,10 +300,10 @@
     def __init__(self, terms, seed):
         self.terms = terms
         self.fleet_view = None  # the last membership view, if dispatchers talk to each other
+        self.workers = {}  # number -> every worker listed and not removed since
         self._compute_divisors()
         self.random = Random(seed)
         self.category_states = [CategoryState(category) for category in terms.categories]
-        self.workers = {}  # number -> every worker listed and not removed since
         self.ready_workers = []  # the workers listed as ready
         self.preferred_workers = []  # ready workers of the own area, or all if areas have no price
         self.work_items = {}  # number -> work item
@@ -302,6 +330,10 @@
         self.is_doubting_reports = False  # load reports are taken to be out of date and are not used
         self.doubt_until, self.doubts_in_row = 0, 0
         self.now = 0
+        self.began_at = None  # time of the first call
+        # The workers in slow start that this dispatcher may use, and until when that holds.
+        self.usable_in_slow_start, self.usable_until = [], 0
+        self.mean_work = 0.0  # estimated in this call, over all categories; 0 if it was not needed yet
         self.actions = []
         self.T = SECOND  # nanoseconds between two update epochs
         self.mean_run_time = 0.0  # mean over all categories, in ns
@@ -336,6 +368,8 @@
     def handle(self, now, events):
         """Returns the actions that these events call for, in order."""
         self.now = now
+        self.began_at = now if self.began_at is None else self.began_at
+        self.mean_work = 0.0
         # Weights that change less often than work items end are out of date when they are used: a worker
         # shown as full would get no hand-off whose answer could correct that.
         self.is_doubting_reports = (
@@ -564,10 +598,9 @@
 
     def _serve_queue(self):
         """Hands waiting work items to workers that may have opened, and schedules the next scan."""
-        touched, self.touched_workers = (
-            self._sample_workers(self.ready_workers) if self.is_full_scan_due else self.touched_workers,
-            [],
-        )
+        touched, self.touched_workers = self.touched_workers, []
+        if self.is_full_scan_due:
+            touched += [*self._list_usable_in_slow_start(), *self._sample_workers(self.ready_workers)]
         self.is_full_scan_due = False
         if self.queue and touched:
             # A search is not repeated for every work item of a long queue. Work items with the same needs as
@@ -639,7 +672,10 @@
         if self.queue and self.terms.may_probe and not self.is_doubting_reports:
             probe_candidates = [
                 worker
-                for worker in self._sample_workers(self.ready_workers)
+                for worker in (
+                    *self._list_usable_in_slow_start(),
+                    *(w for w in self._sample_workers(self.ready_workers) if not self._is_cold(w)),
+                )
                 if not worker.is_being_probed and worker.closed_until <= self.now
             ]
             if probe_candidates:
@@ -700,7 +736,7 @@
         worker.slots_since_report += wi.slots
         worker.memory_in_use += wi.memory
         if self._is_cold(worker):
-            worker.cold_pushes.append((ho.sent_at, self._estimate_work(wi)))
+            worker.sent_work.record(ho.sent_at, self._count_requests(wi))
 
     def _check_progress(self, ho):
         """Sets the timer for the next progress note of a hand-off, or records a failure if two are missing.
@@ -738,6 +774,7 @@
             wi.is_within_share = self._take_account_token(event.account)
         self.mean_slot_memory += (wi.memory / wi.slots - self.mean_slot_memory) / 32
         self.work_items[wi.id] = wi
+        wi.category.arrivals += 1
         if event.unclear:
             # It cannot be found out now whether and where the work item has run. It is not handed off, so
             # that the client may retry later, when that may be known.
@@ -907,6 +944,9 @@
                 self.share_divisor = 1 / self.fleet_view.traffic_share
             self.fleet_growth = max(1.0, sum(self.fleet_view.serving) / configured_count)
         self.has_peers = self.budget_divisor != 1
+        self.order = DispatcherOrder(self.terms.own_number, self.terms.dispatchers)
+        for worker in self.workers.values():
+            worker.rank = self.order.compute_rank(worker.key, worker.started_at)
 
     def _on_noted(self, event):
         """A worker reported the start or progress of a hand-off."""
@@ -948,13 +988,15 @@
                 worker = self.workers[entry.worker] = Worker(
                     entry, self.now, self.now + int(self.T * self.random.random())
                 )
+                self._note_start(worker)
                 if entry.standing == Standing.READY:
                     new_workers.append(worker)
             else:
-                old_weight = worker.weight
-                if entry.started_at != worker.started_at:
-                    worker.reset_for_start(self.now + int(self.T * self.random.random()))
+                old_weight, old_start = worker.weight, worker.started_at
                 worker.apply_entry(entry)
+                if entry.started_at != old_start:
+                    worker.reset_for_start(self.now + int(self.T * self.random.random()))
+                    self._note_start(worker)
                 # Weights that are not live are changed by operators, at times. Their changes tell nothing
                 # about the age of reports.
                 if self.terms.live_weights and worker.weight != old_weight:
@@ -976,11 +1018,16 @@
                 self._probe_worker(worker)
         self.ready_workers = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
         self._choose_preferred_workers()
-        self.is_full_scan_due = True
+        self.is_full_scan_due, self.usable_until = True, 0
         if event.kind == ListKind.CACHED:
             if not self.terms.pushed_list:
                 self.actions.append(Subscribe(True))
 
+    def _note_start(self, worker):
+        """Notes the start with which discovery has just listed a worker."""
+        if worker.started_at > 0:
+            worker.rank = self.order.compute_rank(worker.key, worker.started_at)
+
     def _on_worker_removal(self, event):
         """A worker is gone and its number will not be used again."""
         worker = self.workers.pop(event.worker)
@@ -1064,9 +1111,20 @@
             # Rejection sampling: workers are drawn at random and accepted in proportion to their open slots.
             # This gives the same distribution as below at a cost that does not grow with the fleet.
             largest_weight = self.max_weight if self.terms.live_weights else self.max_slots * self.max_pace
+            # Workers in slow start count only if this dispatcher may use them, which few draws would find.
+            ranked = [
+                (worker, *self._rank_worker(worker, wi)) for worker in self._list_usable_in_slow_start()
+            ]
+            starting = {worker: weight for worker, rank, weight in ranked if rank == BEST_RANK}
+            starting_weight = sum(starting.values())
+            total_weight = len(preferred) * largest_weight + starting_weight
             spare = None
             for _ in range(WORKER_SAMPLE_SIZE):
+                if self.random.random() * total_weight < starting_weight:
+                    return self.random.choices(list(starting), list(starting.values()))[0]
                 worker = preferred[int(self.random.random() * len(preferred))]
+                if self._is_cold(worker):
+                    continue
                 rank, slots = self._rank_worker(worker, wi)
                 if rank == BEST_RANK and self.random.random() * largest_weight < slots:
                     # With live weights a drawn worker with an idle connection comes first: new connections
@@ -1121,9 +1179,12 @@
         if slots <= 0 or not self._may_hand_off_to(worker, wi):
             return -1, 0
         is_surely_open = slots >= MAX_SURPLUS_SLOT_WEIGHT
+        rank = 2 * is_surely_open + is_preferred
         if self.terms.live_weights:
-            return 2 * is_surely_open + is_preferred, worker.weight * min(1, slots)
-        return 2 * is_surely_open + is_preferred, slots * self.pace_by_kind.get(worker.kind, 1.0)
+            weight = worker.weight * min(1, slots)
+        else:
+            weight = slots * self.pace_by_kind.get(worker.kind, 1.0)
+        return rank, weight * self._compute_slow_start_weight(worker) if self._is_cold(worker) else weight
 
     def _choose_preferred_workers(self):
         """Updates preferred_workers from ready_workers."""
@@ -1268,7 +1329,7 @@
                 return False
         if wi.memory > 0 and worker.slots and not self._has_free_memory(worker, wi):
             return False
-        return not self._is_cold(worker) or self._may_hand_off_to_cold(worker, wi)
+        return not self._is_cold(worker) or self._may_send_in_slow_start(worker, wi)
 
     def _has_free_memory(self, worker, wi):
         """Whether a worker has the memory that a work item needs.
@@ -1284,75 +1345,98 @@
         others_slots = max(0, held_slots - worker.slots_in_use) if self._is_report_fresh(worker) else 0
         return wi.memory <= worker.slots - worker.memory_in_use - others_slots * self.mean_slot_memory
 
-    # ---- cold workers
+    # ---- workers in slow start
+
+    def _compute_age(self, worker):
+        """Returns how long ago a worker with a known start has started."""
+        return self.now - worker.started_at
 
     def _is_cold(self, worker):
         """Whether a worker is still warming up."""
-        return worker.started_at > 0 and self.now - worker.started_at < self.terms.warm_up
+        return worker.started_at > 0 and self._compute_age(worker) < self.terms.warm_up
 
-    def _may_hand_off_to_cold(self, worker, wi):
-        """Whether a work item is within this dispatcher's part of the budget of a cold worker.
+    def _may_send_in_slow_start(self, worker, wi):
+        """Whether a work item is within this dispatcher's part of the budget of a worker in slow start.
 
-        A cold worker fails if it is sent too much within a push window. Its capacity is assumed to grow as
-        slowly as the terms allow.
+        No report widens that part. Where reports are used, the worker has to show room besides, or to be
+        asked first.
         """
-        terms = self.terms
-        warm_share = max(0, self.now - worker.started_at) / terms.warm_up
-        capacity_share = terms.cold_share + (1 - terms.cold_share) * warm_share
-        work = self._estimate_work(wi)
-        # If such work in all slots, plus what they finish within a push window, stays below the limit of the
-        # worker, no number of dispatchers that each use a slot just reported free can overload it, and no
-        # random draw is needed. With the draw alone, cold workers were idle while a fifth of all work items
-        # was deferred.
-        is_bounded_by_slots = (
-            terms.may_probe
-            and not self._should_use_own_record()
-            and work <= ((terms.push_multiple - 1) * capacity_share * terms.push_window * wi.slots)
-        )
-        if is_bounded_by_slots and self._has_just_shown_room(worker, wi.slots):
-            return True
-        if self.random.random() > capacity_share:
-            return False  # the worker is skipped at random, less often as it warms up
-        if (
-            not self._should_use_own_record()
-            and self._is_state_known(worker)
-            and not self._has_just_shown_room(worker, wi.slots)
+        if not (
+            self._should_use_own_record()
+            or self._has_just_shown_room(worker, wi.slots)
+            or not self._is_state_known(worker)
+            and wi.alert_requests < self.terms.most_hand_offs
         ):
-            # The worker has just reported no room, so work from the budget would exceed its slots.
             return False
-        if is_bounded_by_slots:
-            # The worker is probed for its busy alert first. A work item that has used up its requests for
-            # busy alerts would be handed off without one.
-            return wi.alert_requests < terms.most_hand_offs
+        recent = worker.sent_work.sum_recent(self.now, self.terms.push_window)
+        return self._compute_allowance(worker).admits(self._count_requests(wi), recent)
+
+    def _compute_allowance(self, worker):
+        """Returns the Allowance of a worker in slow start."""
+        requests = compute_allowance(
+            self.terms,
+            self._compute_age(worker),
+            self._estimate_min_slots(worker),
+            self._estimate_mean_work(),
+        )
         if not self.budget_divisor:
-            return False  # the other dispatchers may already divide the whole budget among themselves
-        pushes = worker.cold_pushes
-        while pushes and pushes[0][0] <= self.now - terms.push_window:
-            pushes.popleft()
-        budget = terms.push_multiple * capacity_share * self._estimate_min_slots(worker) * terms.push_window
-        budget /= self.budget_divisor
-        if work <= budget:
-            return sum(work for _, work in pushes) + work <= budget
-        # With many dispatchers, each one's part of the budget is less than one work item, and cold workers
-        # would stay unused. Each then sends at most one per push window, at random, so that all together
-        # likely send half of the budget.
-        if self.now - worker.cold_draw_at >= terms.push_window:
-            worker.cold_draw_at = self.now
-            worker.is_cold_draw_won = self.random.random() * 2 * work < budget
-        return worker.is_cold_draw_won and not pushes
+            requests = 0.0  # the other dispatchers may already divide all of it among themselves
+        elif self.now - self.began_at < self.terms.push_window:
+            requests *= RESTART_SHARE
+        rank = worker.rank * self.budget_divisor / self.order.dispatchers
+        return Allowance(requests, self.budget_divisor, rank)
+
+    def _compute_slow_start_weight(self, worker):
+        """Returns by how much more, or less, work a worker in slow start gets from this dispatcher.
+
+        Its subset of the dispatchers carries what all of them send to a warm worker.
+        """
+        allowance = self._compute_allowance(worker)
+        capacity_share = compute_capacity_share(self.terms, self._compute_age(worker))
+        return capacity_share * max(1.0, allowance.dispatchers / allowance.requests)
+
+    def _count_requests(self, wi):
+        """Returns the likely work of a work item in requests of mean work."""
+        return max(MIN_REQUEST, self._estimate_work(wi) / self._estimate_mean_work())
+
+    def _list_usable_in_slow_start(self):
+        """Returns the ready workers in slow start of whose subset this dispatcher is a member.
+
+        In a large fleet a dispatcher rarely looks at a given worker, so what waits looks at these by itself.
+        """
+        if self.now >= self.usable_until:
+            self.usable_until = self.now + USABLE_REFRESH_NS
+            self.usable_in_slow_start = [
+                worker
+                for worker in self.ready_workers
+                if self._is_cold(worker) and self._compute_allowance(worker).is_usable
+            ]
+        return self.usable_in_slow_start
+
+    def _estimate_min_slots(self, worker):
+        """Returns the slots that a worker has at least: the most it has shown, else the fewest of others."""
+        return worker.slots or min((w.slots for w in self.ready_workers if w.slots), default=1)
+
+    def _estimate_work(self, wi):
+        """Returns the likely running time of a work item times its slots."""
+        return wi.category.estimate_work() * wi.slots
+
+    def _estimate_mean_work(self):
+        """Returns the likely running time of a work item of any category, as often as each arrives."""
+        if not self.mean_work:
+            weights = [state.arrivals + 1 for state in self.category_states]
+            self.mean_work = sum(
+                weight * state.estimate_work()
+                for weight, state in zip(weights, self.category_states, strict=True)
+            ) / sum(weights)
+        return self.mean_work
 
     def _describe_slow_start(self, worker, wi):
-        """Returns the SlowStartNote of a hand-off that is about to go to a cold worker."""
-        terms, age, work = self.terms, self.now - worker.started_at, self._estimate_work(wi)
-        capacity_share = terms.cold_share + (1 - terms.cold_share) * max(0, age) / terms.warm_up
-        budget = terms.push_multiple * capacity_share * self._estimate_min_slots(worker) * terms.push_window
-        budget /= self.budget_divisor or 1
-        if self._has_just_shown_room(worker, wi.slots):
-            reason = SlowStartReason.REPORT
-        else:
-            reason = SlowStartReason.BUDGET if work <= budget else SlowStartReason.DRAW
-        recent_count = sum(pushed_at > self.now - terms.push_window for pushed_at, _ in worker.cold_pushes)
-        return SlowStartNote(reason, age, recent_count, budget / work)
+        """Returns the SlowStartNote of a hand-off that is about to go to a worker in slow start."""
+        requests, own_part = self._count_requests(wi), self._compute_allowance(worker).own_part
+        recent = worker.sent_work.sum_recent(self.now, self.terms.push_window)
+        reason = SlowStartReason.PART if recent + requests <= own_part else SlowStartReason.LONG
+        return SlowStartNote(reason, self._compute_age(worker), requests, recent, own_part)
 
     def read_state(self):
         """Returns the ModuleState, for the log."""
@@ -1368,23 +1452,6 @@
             load=self.reported_load,
         )
 
-    def _estimate_min_slots(self, worker):
-        """Returns the slots that a worker has at least: the most it has shown, else the fewest of others."""
-        return worker.slots or min((w.slots for w in self.ready_workers if w.slots), default=1)
-
-    def _estimate_work(self, wi):
-        """Returns the likely running time of a work item times its slots.
-
-        One standard error of the mean is added, for running times whose deviation equals their mean. A mean
-        of few samples, or of those that ended early, would be too low and would overload cold workers.
-        """
-        category = wi.category
-        likely_time = max(
-            category.mean_run_time,
-            category.likely_run_time * (1 + min(16, category.run_samples or 1) ** -0.5),
-        )
-        return (likely_time or self.mean_run_time or self.T) * wi.slots
-
     # ---- learning
 
     def _learn_from_answer(self, ho, event):
@@ -1416,7 +1483,9 @@
         # If long work items do not finish (cold workers, time-outs), the mean of the finished ones falls.
         # Cold workers would then be overloaded by work items that are taken to be short.
         is_longer = run_time > wi.category.likely_run_time and event.outcome not in NEVER_RAN
-        if ho.was_worker_open and (is_longer or event.outcome == Outcome.OK):
+        # Work takes longer on a worker in slow start, and by how much is not known.
+        is_comparable = not wi.category.run_samples or not self._is_cold(worker)
+        if ho.was_worker_open and is_comparable and (is_longer or event.outcome == Outcome.OK):
             wi.category.run_samples += 1
             wi.category.likely_run_time = update_moving_mean(
                 wi.category.likely_run_time, run_time, min(16, wi.category.run_samples)
--- /dev/null
+++ b/heronwinch/slow_start.py
@@ -0,0 +1,109 @@
+"""Slow start: what this dispatcher, one of many, may send to workers just started.
+
+A worker in slow start fails under the sum of what all dispatchers send it, and dispatchers do not talk to
+each other. So a subset of them, by their numbers, uses each such worker, and each member of the subset keeps
+to its part of what the worker stands. Neither depends on what a worker reports: reports are late, and all
+dispatchers see the same free slot. docs/design.md has the bound on the sum. All times are whole nanoseconds.
+Does no I/O.
+"""
+
+from collections import deque
+from math import gcd, sqrt
+
+# The part of what a worker stands that all dispatchers together may send it. The rest is for what they cannot
+# know: errors of the learned work and slots, requests on their way, what a restarted dispatcher sent before.
+USED_SHARE = 0.7
+# From this budget on, in requests, less of an excess counts as chance.
+LARGE_BUDGET = 30
+# A restarted dispatcher does not know what it sent before. For a push window it reckons with this part of it.
+RESTART_SHARE = 0.25
+GOLDEN_RATIO = 0.618  # consecutive multiples of it are spread evenly
+MIX_MULTIPLIER, MIX_MODULUS = 0x9E3779B97F4A7C15, 1 << 64  # multiplicative hashing
+
+
+class SentWork:
+    """What this dispatcher has sent to one worker in slow start within the push window, in requests of mean
+    work."""
+
+    __slots__ = ("sent",)
+
+    def __init__(self):
+        self.sent = deque()  # (time, requests)
+
+    def record(self, now, requests):
+        """Counts a hand-off."""
+        self.sent.append((now, requests))
+
+    def sum_recent(self, now, window):
+        """Returns what was sent within the push window."""
+        while self.sent and self.sent[0][0] <= now - window:
+            self.sent.popleft()
+        return sum(requests for _, requests in self.sent)
+
+
+class Allowance:
+    """What all dispatchers together may send a worker in slow start in a push window, in requests of mean
+    work, and the place of this dispatcher in the order in which they share it."""
+
+    __slots__ = ("requests", "dispatchers", "rank")
+
+    def __init__(self, requests, dispatchers, rank):
+        self.requests, self.dispatchers, self.rank = requests, dispatchers, rank
+
+    @property
+    def own_part(self):
+        """The part of each member of the subset: one request at least."""
+        return max(1.0, self.requests / self.dispatchers)
+
+    @property
+    def is_usable(self):
+        """Whether this dispatcher is a member of the subset."""
+        return self.rank < self.requests
+
+    def admits(self, requests, recent):
+        """Whether a hand-off of so many requests of mean work may go out after `recent` others in the window.
+
+        Long work goes from fewer dispatchers: each sends one such work item at most, and all of them together
+        less than the allowance.
+        """
+        if not self.is_usable:
+            return False
+        if recent + requests <= self.own_part:
+            return True
+        return not recent and (self.rank + 1) * requests * requests <= self.requests
+
+
+class DispatcherOrder:
+    """The places of one of several dispatchers in the orders in which they use workers in slow start.
+
+    Each start of a worker has an order of its own, the same at all dispatchers, in which each has another
+    place. Neighbours in it have numbers far apart.
+    """
+
+    def __init__(self, own_number, dispatchers):
+        self.own_number, self.dispatchers = own_number, max(1, dispatchers)
+        self.stride = max(1, int(self.dispatchers * GOLDEN_RATIO))
+        while gcd(self.stride, self.dispatchers) > 1:
+            self.stride += 1
+
+    def compute_rank(self, worker_key, started_at):
+        """Returns this dispatcher's place, from 0 on, for one start of a worker."""
+        mixed = (worker_key * MIX_MULTIPLIER + started_at) * MIX_MULTIPLIER % MIX_MODULUS
+        return (self.own_number * self.stride + (mixed >> 32) % self.dispatchers) % self.dispatchers
+
+
+def compute_capacity_share(terms, age):
+    """Returns the part of its capacity that a worker has at this age: the least that the terms allow."""
+    return min(1.0, terms.cold_share + (1 - terms.cold_share) * max(0, age) / max(1, terms.warm_up))
+
+
+def compute_allowance(terms, age, slots, mean_work):
+    """Returns what all dispatchers may send a worker in a push window, in requests of mean work.
+
+    `mean_work` is in nanoseconds. The terms allow N requests; a worker stands N + 3 * sqrt(N) + 3 of them,
+    from N = 30 on N + 2 * sqrt(N) + 2.
+    """
+    work = terms.push_multiple * compute_capacity_share(terms, age) * slots * terms.push_window
+    budget = work / max(1.0, mean_work)
+    excess = 3 * sqrt(budget) + 3 if budget < LARGE_BUDGET else 2 * sqrt(budget) + 2
+    return USED_SHARE * (budget + excess)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -92,6 +92,12 @@
 lasts = "1s"
 what = "crash"
 share = 0.6
+[[troubles]]
+at = "100ms"
+lasts = "4s"
+what = "late-reports"
+by = "3s"
+share = 1.0
 """
 
 
