Slow start: ages of workers rely on no single wall clock

What callers saw: with the machines' wall clocks an hour ahead and dispatchers restarted after it, workers in slow start were taken for warm, got full shares and fell 1.1 to 3.9 s after their start.

Cause: the age was this machine's wall clock less the start by the worker's clock. Now a start is at least as old as the time since it was heard of, at most as old as the last list without it, and in between counted against the newest start heard of.

A property: whatever the wall clock of this machine shows, within five hours, no worker is taken for older than it is.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -51,6 +51,7 @@
     Allowance,
     DispatcherOrder,
     SentWork,
+    StartClock,
     compute_allowance,
     compute_capacity_share,
 )
@@ -248,6 +249,7 @@
         "reported_at",
         "is_being_probed",
         "alert_waiters",
+        "start",
         "rank",
         "sent_work",
         "connections_idle_since",
@@ -271,6 +273,7 @@
         self.last_serving_at = 0  # when the worker last accepted work or answered a probe: not draining then
         self.is_being_probed = False
         self.alert_waiters = []  # work items that wait for the worker's busy alert
+        self.start = None  # its last start as a WorkerStart, None if that is long ago
         self.rank = 0  # place of this dispatcher among those that use it in slow start
         self.sent_work = SentWork()
         self.weight_changed_at = now
@@ -331,6 +334,7 @@
         self.doubt_until, self.doubts_in_row = 0, 0
         self.now = 0
         self.began_at = None  # time of the first call
+        self.start_clock = StartClock()
         # The workers in slow start that this dispatcher may use, and until when that holds.
         self.usable_in_slow_start, self.usable_until = [], 0
         self.mean_work = 0.0  # estimated in this call, over all categories; 0 if it was not needed yet
@@ -1005,6 +1009,8 @@
                     )
                     worker.weight_changed_at = self.now
             self.max_weight = max(self.max_weight, worker.weight)
+        if event.kind != ListKind.CACHED:
+            self.start_clock.note_list(self.now)
         if event.kind != ListKind.DELTA:
             for worker in self.workers.values():
                 if worker.id not in listed_numbers:
@@ -1025,7 +1031,9 @@
 
     def _note_start(self, worker):
         """Notes the start with which discovery has just listed a worker."""
+        worker.start = None
         if worker.started_at > 0:
+            worker.start = self.start_clock.note_start(self.now, worker.started_at)
             worker.rank = self.order.compute_rank(worker.key, worker.started_at)
 
     def _on_worker_removal(self, event):
@@ -1349,11 +1357,11 @@
 
     def _compute_age(self, worker):
         """Returns how long ago a worker with a known start has started."""
-        return self.now - worker.started_at
+        return self.start_clock.compute_age(self.now, worker.start)
 
     def _is_cold(self, worker):
         """Whether a worker is still warming up."""
-        return worker.started_at > 0 and self._compute_age(worker) < self.terms.warm_up
+        return worker.start is not None and self._compute_age(worker) < self.terms.warm_up
 
     def _may_send_in_slow_start(self, worker, wi):
         """Whether a work item is within this dispatcher's part of the budget of a worker in slow start.
--- a/heronwinch/slow_start.py
+++ b/heronwinch/slow_start.py
@@ -1,4 +1,4 @@
-"""Slow start: what this dispatcher, one of many, may send to workers just started.
+"""Slow start: the ages of workers, and what this dispatcher, one of many, may send to those just started.
 
 A worker in slow start fails under the sum of what all dispatchers send it, and dispatchers do not talk to
 each other. So a subset of them, by their numbers, uses each such worker, and each member of the subset keeps
@@ -10,6 +10,10 @@
 from collections import deque
 from math import gcd, sqrt
 
+from heronwinch.interface import SECOND
+
+# A wall clock may be off by this much: by several steps of an hour.
+MAX_CLOCK_ERROR = 6 * 3600 * SECOND
 # The part of what a worker stands that all dispatchers together may send it. The rest is for what they cannot
 # know: errors of the learned work and slots, requests on their way, what a restarted dispatcher sent before.
 USED_SHARE = 0.7
@@ -21,6 +25,51 @@
 MIX_MULTIPLIER, MIX_MODULUS = 0x9E3779B97F4A7C15, 1 << 64  # multiplicative hashing
 
 
+class WorkerStart:
+    """A start of a worker, as discovery lists it."""
+
+    __slots__ = ("started_at", "heard_at", "not_before")
+
+    def __init__(self, started_at, heard_at, not_before):
+        self.started_at = started_at  # Unix time, by the worker's clock
+        self.heard_at = heard_at  # when this dispatcher first heard of it
+        # When it last had a list without this start; None if it never had one.
+        self.not_before = not_before
+
+
+class StartClock:
+    """Tells how long ago workers started, without relying on any one machine's wall clock.
+
+    The age of a worker is a span of real time. The starts that discovery lists are in Unix time, and both the
+    worker's wall clock and this machine's may have been set. A start is at least as old as the time since it
+    was heard of, and at most as old as the last list without it. In between, ages are counted against the
+    newest starts heard of: it was at least that late when they were heard.
+    """
+
+    def __init__(self):
+        self.last_list_at = None  # when discovery last answered
+        # By how much the Unix time of the newest starts, counted on from when they were heard of, is ahead of
+        # this machine's clock; it is at least as late as that.
+        self.reference_offset = -MAX_CLOCK_ERROR
+
+    def note_start(self, now, started_at):
+        """Returns the WorkerStart of a start that has just been heard of."""
+        # A start in the future is left out: then either clock is wrong.
+        self.reference_offset = max(self.reference_offset, min(0, started_at - now))
+        return WorkerStart(started_at, now, self.last_list_at)
+
+    def note_list(self, now):
+        """Discovery has answered: every later start that is heard of is newer than this list."""
+        self.last_list_at = now
+
+    def compute_age(self, now, start):
+        """Returns how long ago a worker started; where that is not known, the least that it can be."""
+        age = now + self.reference_offset - start.started_at
+        if start.not_before is not None:
+            age = min(age, now - start.not_before)
+        return max(age, now - start.heard_at)
+
+
 class SentWork:
     """What this dispatcher has sent to one worker in slow start within the push window, in requests of mean
     work."""
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -1,4 +1,4 @@
-"""Tests of slow_start: the sum of what many dispatchers send."""
+"""Tests of slow_start: ages under clock errors, and the sum of what many dispatchers send."""
 
 from random import Random
 
@@ -12,9 +12,37 @@
     Allowance,
     DispatcherOrder,
     SentWork,
+    StartClock,
 )
 
 EPOCH = 1_700_000_000 * SECOND  # an instant of Unix time
+HOUR = 3600 * SECOND
+
+
+@given(
+    st.integers(-5 * HOUR, 5 * HOUR),
+    st.lists(st.integers(0, 20 * SECOND), min_size=1, max_size=5),
+    st.integers(0, 30 * SECOND),
+)
+def test_no_worker_is_taken_for_older_than_it_is_whatever_the_wall_clocks_show(skew, delays, waited):
+    clock = StartClock()
+    starts = []
+    for number, delay in enumerate(delays):
+        heard_at = EPOCH + number * 21 * SECOND
+        clock.note_list(heard_at - delay)
+        true_start = heard_at - delay
+        starts.append((true_start, clock.note_start(heard_at, true_start + skew)))
+    now = heard_at + waited
+    for true_start, start in starts:
+        assert now - start.heard_at <= clock.compute_age(now, start) <= now - true_start
+
+
+def test_a_worker_first_heard_of_in_the_first_list_is_as_old_as_the_newest_one_allows():
+    clock = StartClock()
+    old = clock.note_start(EPOCH, EPOCH - HOUR)
+    new = clock.note_start(EPOCH, EPOCH - 2 * SECOND)
+    assert clock.compute_age(EPOCH, old) == HOUR - 2 * SECOND
+    assert clock.compute_age(EPOCH + SECOND, new) == SECOND
 
 
 @given(st.integers(1, 300), st.integers(0, 1 << 32), st.integers(0, 1 << 62))
