--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -1128,7 +1128,7 @@
             total_weight = len(preferred) * largest_weight + starting_weight
             spare = None
             for _ in range(WORKER_SAMPLE_SIZE):
-                if self.random.random() * total_weight < starting_weight:
+                if starting and self.random.random() * total_weight < starting_weight:
                     return self.random.choices(list(starting), list(starting.values()))[0]
                 worker = preferred[int(self.random.random() * len(preferred))]
                 if self._is_cold(worker):
