Slow start: a membership view without a divisor is no division by zero

Found on reading: a hand-off described or weighed while a view gives no divisor would have divided by zero. None was seen, as nothing is admitted then. Allowance holds it now, and says how many dispatchers a member stands for.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -1399,9 +1399,8 @@
 
         Its subset of the dispatchers carries what all of them send to a warm worker.
         """
-        allowance = self._compute_allowance(worker)
         capacity_share = compute_capacity_share(self.terms, self._compute_age(worker))
-        return capacity_share * max(1.0, allowance.dispatchers / allowance.requests)
+        return capacity_share * self._compute_allowance(worker).represented_dispatchers
 
     def _count_requests(self, wi):
         """Returns the likely work of a work item in requests of mean work."""
--- a/heronwinch/slow_start.py
+++ b/heronwinch/slow_start.py
@@ -97,13 +97,18 @@
     __slots__ = ("requests", "dispatchers", "rank")
 
     def __init__(self, requests, dispatchers, rank):
-        self.requests, self.dispatchers, self.rank = requests, dispatchers, rank
+        self.requests, self.dispatchers, self.rank = requests, max(1, dispatchers), rank
 
     @property
     def own_part(self):
         """The part of each member of the subset: one request at least."""
         return max(1.0, self.requests / self.dispatchers)
 
+    @property
+    def represented_dispatchers(self):
+        """How many dispatchers each member of the subset stands for, itself among them."""
+        return max(1.0, self.dispatchers / max(1.0, self.requests))
+
     @property
     def is_usable(self):
         """Whether this dispatcher is a member of the subset."""
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -95,6 +95,19 @@
     assert not Allowance(20.0, 100, 0).admits(3.0, 0.5)
 
 
+def test_without_a_number_of_dispatchers_nothing_is_admitted_and_nothing_fails():
+    # Guards against a crash where a membership view gives no divisor.
+    allowance = Allowance(0.0, 0, 0.0)
+    assert not allowance.is_usable and not allowance.admits(0.1, 0.0)
+    assert allowance.own_part == allowance.represented_dispatchers == 1.0
+
+
+def test_members_of_a_subset_stand_for_all_dispatchers():
+    assert Allowance(20.0, 200, 0).represented_dispatchers == 10.0
+    assert Allowance(0.5, 200, 0).represented_dispatchers == 200.0
+    assert Allowance(20.0, 2, 0).represented_dispatchers == 1.0
+
+
 def test_sent_work_counts_for_one_push_window():
     sent_work = SentWork()
     sent_work.record(0, 1.0)
