--- a/heronwinch/net/diagnostics.py
+++ b/heronwinch/net/diagnostics.py
@@ -48,9 +48,7 @@
         if self.limiter.allows("slow_start_hand_off"):
             log.info(
                 "slow_start_hand_off",
-                id=item.job.id.decode("latin-1"),
-                attempt=ho_number + 1,
-                worker=host,
+                **_identify_hand_off(item, ho_number, host),
                 why=note.reason,
                 age_ms=note.worker_age // 1_000_000,
                 requests=round(note.requests, 2),
@@ -63,9 +61,7 @@
         if self.limiter.allows("hand_off_failed"):
             log.info(
                 "hand_off_failed",
-                id=item.job.id.decode("latin-1"),
-                attempt=ho_number + 1,
-                worker=host,
+                **_identify_hand_off(item, ho_number, host),
                 outcome=outcome.name.lower(),
                 elapsed_ms=elapsed // 1_000_000,
             )
@@ -99,7 +95,7 @@
             now = self.machine.now()
             log.info(
                 "work_item_" + kind,
-                id=item.job.id.decode("latin-1"),
+                id=_decode_id(item),
                 why=self._explain_end(item, answer, most_hand_offs, is_stopping, now),
                 attempts=len(item.outcomes),
                 waited_ms=(now - item.accepted_at) // 1_000_000,
@@ -135,6 +131,16 @@
             log.warning("clock_stepped", by_ms=step // 1_000_000)
 
 
+def _decode_id(item):
+    """Returns the id of a work item, as clients send it."""
+    return item.job.id.decode("latin-1")
+
+
+def _identify_hand_off(item, ho_number, host):
+    """Returns the fields of a line that say which hand-off it is about."""
+    return {"id": _decode_id(item), "attempt": ho_number + 1, "worker": host}
+
+
 def _name_standing(entry):
     """Returns the name of a listed worker's state for the log."""
     return "unlisted" if entry is None else interface.Standing(entry.standing).name.lower()
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -250,7 +250,6 @@
         "is_being_probed",
         "alert_waiters",
         "start",
-        "rank",
         "sent_work",
         "connections_idle_since",
         "weight_changed_at",
@@ -274,7 +273,6 @@
         self.is_being_probed = False
         self.alert_waiters = []  # work items that wait for the worker's busy alert
         self.start = None  # its last start as a WorkerStart, None if that is long ago
-        self.rank = 0  # place of this dispatcher among those that use it in slow start
         self.sent_work = SentWork()
         self.weight_changed_at = now
         self.apply_entry(entry)
@@ -303,10 +301,10 @@
     def __init__(self, terms, seed):
         self.terms = terms
         self.fleet_view = None  # the last membership view, if dispatchers talk to each other
-        self.workers = {}  # number -> every worker listed and not removed since
         self._compute_divisors()
         self.random = Random(seed)
         self.category_states = [CategoryState(category) for category in terms.categories]
+        self.workers = {}  # number -> every worker listed and not removed since
         self.ready_workers = []  # the workers listed as ready
         self.preferred_workers = []  # ready workers of the own area, or all if areas have no price
         self.work_items = {}  # number -> work item
@@ -337,6 +335,7 @@
         self.start_clock = StartClock()
         # The workers in slow start that this dispatcher may use, and until when that holds.
         self.usable_in_slow_start, self.usable_until = [], 0
+        self.fewest_slots = 0  # that a ready worker has shown; 0 if it has to be looked for again
         self.mean_work = 0.0  # estimated in this call, over all categories; 0 if it was not needed yet
         self.actions = []
         self.T = SECOND  # nanoseconds between two update epochs
@@ -949,8 +948,6 @@
             self.fleet_growth = max(1.0, sum(self.fleet_view.serving) / configured_count)
         self.has_peers = self.budget_divisor != 1
         self.order = DispatcherOrder(self.terms.own_number, self.terms.dispatchers)
-        for worker in self.workers.values():
-            worker.rank = self.order.compute_rank(worker.key, worker.started_at)
 
     def _on_noted(self, event):
         """A worker reported the start or progress of a hand-off."""
@@ -1024,7 +1021,7 @@
                 self._probe_worker(worker)
         self.ready_workers = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
         self._choose_preferred_workers()
-        self.is_full_scan_due, self.usable_until = True, 0
+        self.is_full_scan_due, self.usable_until, self.fewest_slots = True, 0, 0
         if event.kind == ListKind.CACHED:
             if not self.terms.pushed_list:
                 self.actions.append(Subscribe(True))
@@ -1034,7 +1031,6 @@
         worker.start = None
         if worker.started_at > 0:
             worker.start = self.start_clock.note_start(self.now, worker.started_at)
-            worker.rank = self.order.compute_rank(worker.key, worker.started_at)
 
     def _on_worker_removal(self, event):
         """A worker is gone and its number will not be used again."""
@@ -1391,8 +1387,9 @@
             requests = 0.0  # the other dispatchers may already divide all of it among themselves
         elif self.now - self.began_at < self.terms.push_window:
             requests *= RESTART_SHARE
-        rank = worker.rank * self.budget_divisor / self.order.dispatchers
-        return Allowance(requests, self.budget_divisor, rank)
+        rank = self.order.compute_rank(worker.key, worker.started_at)
+        rank_by_divisor = rank * self.budget_divisor / self.order.dispatchers
+        return Allowance(requests, self.budget_divisor, rank_by_divisor)
 
     def _compute_slow_start_weight(self, worker):
         """Returns by how much more, or less, work a worker in slow start gets from this dispatcher.
@@ -1422,7 +1419,9 @@
 
     def _estimate_min_slots(self, worker):
         """Returns the slots that a worker has at least: the most it has shown, else the fewest of others."""
-        return worker.slots or min((w.slots for w in self.ready_workers if w.slots), default=1)
+        if not worker.slots and not self.fewest_slots:
+            self.fewest_slots = min((w.slots for w in self.ready_workers if w.slots), default=1)
+        return worker.slots or self.fewest_slots
 
     def _estimate_work(self, wi):
         """Returns the likely running time of a work item times its slots."""
@@ -1440,10 +1439,11 @@
 
     def _describe_slow_start(self, worker, wi):
         """Returns the SlowStartNote of a hand-off that is about to go to a worker in slow start."""
-        requests, own_part = self._count_requests(wi), self._compute_allowance(worker).own_part
+        requests, allowance = self._count_requests(wi), self._compute_allowance(worker)
         recent = worker.sent_work.sum_recent(self.now, self.terms.push_window)
-        reason = SlowStartReason.PART if recent + requests <= own_part else SlowStartReason.LONG
-        return SlowStartNote(reason, self._compute_age(worker), requests, recent, own_part)
+        is_within_part = allowance.is_within_part(requests, recent)
+        reason = SlowStartReason.PART if is_within_part else SlowStartReason.LONG
+        return SlowStartNote(reason, self._compute_age(worker), requests, recent, allowance.own_part)
 
     def read_state(self):
         """Returns the ModuleState, for the log."""
@@ -1566,7 +1566,9 @@
         self.reporters[worker.id] = worker
         worker.reported_waiting = round(report.waiting or 0)
         running_slots = max(0, round(report.held or 0) - worker.reported_waiting)
-        worker.slots = max(worker.slots, worker.reported_free + running_slots if worker.reported_free else 0)
+        shown_slots = worker.reported_free + running_slots if worker.reported_free else 0
+        if shown_slots > worker.slots:
+            worker.slots, self.fewest_slots = shown_slots, 0
         self.max_slots = max(self.max_slots, worker.slots)
         if worker.slots:
             self.reported_load += (max(0, 1 - worker.reported_free / worker.slots) - self.reported_load) / 32
--- a/heronwinch/rehearsal/models/slow_start.py
+++ b/heronwinch/rehearsal/models/slow_start.py
@@ -36,7 +36,11 @@
         self.arrivals = deque()  # (arrived at, likely work times slots)
         self.recent_work = 0.0  # sum over `arrivals`
         self.peak_share = 0.0  # the most that reached it, as a share of the limit
-        self.is_exceeded = False
+
+    @property
+    def is_exceeded(self):
+        """Whether more has reached it than it stands."""
+        return self.peak_share > 1
 
     def add(self, now, work, capacity_share):
         """Counts a request; `capacity_share` is the part of its full speed that the worker has now."""
@@ -49,4 +53,3 @@
         budget = shape.push_multiple * capacity_share * shape.slots * shape.speed * shape.push_window
         share = self.recent_work / mean_work / compute_call_limit(budget / mean_work)
         self.peak_share = max(self.peak_share, share)
-        self.is_exceeded = self.is_exceeded or share > 1
--- a/heronwinch/slow_start.py
+++ b/heronwinch/slow_start.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from math import gcd, sqrt
+from typing import NamedTuple
 
 from heronwinch.interface import SECOND
 
@@ -25,16 +26,12 @@
 MIX_MULTIPLIER, MIX_MODULUS = 0x9E3779B97F4A7C15, 1 << 64  # multiplicative hashing
 
 
-class WorkerStart:
+class WorkerStart(NamedTuple):
     """A start of a worker, as discovery lists it."""
 
-    __slots__ = ("started_at", "heard_at", "not_before")
-
-    def __init__(self, started_at, heard_at, not_before):
-        self.started_at = started_at  # Unix time, by the worker's clock
-        self.heard_at = heard_at  # when this dispatcher first heard of it
-        # When it last had a list without this start; None if it never had one.
-        self.not_before = not_before
+    started_at: int  # Unix time, by the worker's clock
+    heard_at: int  # when this dispatcher first heard of it
+    not_before: int | None  # when it last had a list without this start; None if it never had one
 
 
 class StartClock:
@@ -114,6 +111,10 @@
         """Whether this dispatcher is a member of the subset."""
         return self.rank < self.requests
 
+    def is_within_part(self, requests, recent):
+        """Whether the own part has room for so many requests after `recent` others in the window."""
+        return recent + requests <= self.own_part
+
     def admits(self, requests, recent):
         """Whether a hand-off of so many requests of mean work may go out after `recent` others in the window.
 
@@ -122,7 +123,7 @@
         """
         if not self.is_usable:
             return False
-        if recent + requests <= self.own_part:
+        if self.is_within_part(requests, recent):
             return True
         return not recent and (self.rank + 1) * requests * requests <= self.requests
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -91,7 +91,7 @@
 
 
 def make_driver_with_cold_worker(make_driver, **terms):
-    """Returns a driver of one of ten dispatchers, with one cold worker that full slots cannot overload."""
+    """Returns a driver of one of ten dispatchers, with one cold worker."""
     driver = make_driver(
         may_probe=True, dispatchers=10, workers=[make_entry(1, started_at=1_000_000 * MS)], **terms
     )
@@ -115,10 +115,7 @@
 
 @pytest.mark.parametrize("running_ms", [100, 3000])
 def test_nothing_goes_to_a_cold_worker_that_has_just_reported_no_room(make_driver, running_ms):
-    """Work with which full slots cannot overload a cold worker goes by reports alone.
-
-    Longer work goes by this dispatcher's part of the budget, but not on top of full slots.
-    """
+    """Short and long work goes by this dispatcher's part of the budget, but not on top of full slots."""
     is_used = []
     for free in (0, 4):
         driver = make_driver(
--- a/tests/test_slow_start_faults.py
+++ b/tests/test_slow_start_faults.py
@@ -104,6 +104,7 @@
     assert not [breach for breach in list_breaches(runner, script) if breach.rule == "cold"]
 
 
+# Guards against report 3e2d88 in virtual time: too much from all together, or taken for warm too early.
 @pytest.mark.parametrize("fault", FAULTS)
 @pytest.mark.parametrize("seed", [1, 2])
 def test_simulated_dispatchers_together_keep_the_budget_of_workers_in_slow_start(fault, seed):
