--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -102,7 +102,7 @@
         self._send_line(writer, id, "started")
         result = self.keys.recall(key, now) if self.keys is not None and key else None
         if result is None:
-            result = f"{self.host}:{id}:" + body.decode("latin-1").upper()
+            result = f"{self.host}:{id}:{len(body)}"  # short, as an answer holds 64 KiB at most
             if self.keys is not None and key:
                 self.keys.note(key, now, result)
             await self._run(id, writer)
