Review case 2: what two cases share of a replacement stands in review/common

The platform's side of a replacement and the look at a connection's end are shared with case 3; the case plays as before.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,7 +6,6 @@
 unanswered."""
 
 import asyncio
-import contextlib
 import os
 import signal
 import socket
@@ -15,8 +14,10 @@
 import tempfile
 from pathlib import Path
 
-from review.common.dispatcher import CannotRunError, Dispatcher, build_config, category, find_free_port
+from review.common.connection import was_request_read
+from review.common.dispatcher import CannotRunError, build_config, category
 from review.common.http import MessageError, read_body, read_head
+from review.common.platform import launch_process, wait_until_ended, wait_until_yes
 from review.common.record import Record
 from review.common.worker import Discovery, KeyTable, Worker
 
@@ -31,8 +32,6 @@
 MAX_STOP_SECONDS = 3.7  # SIGKILL comes this long after SIGTERM
 RUN_SECONDS = 14.0
 BODY = b"".join(struct.pack("<I", number % 1000) for number in range(16 * 1024))  # 64 KiB, the most allowed
-RESET_WAIT_SECONDS = 0.2  # a reset follows the end of a connection within this time, if at all
-TCP_CLOSE_WAIT = 8
 
 
 class BusyClient:
@@ -64,7 +63,7 @@
             try:
                 return await self._exchange(id, key, body)
             except (OSError, MessageError, TimeoutError) as error:
-                was_read = isinstance(error, MessageError) and await self._was_request_read()
+                was_read = isinstance(error, MessageError) and await was_request_read(self.writer)
                 self.writer.close()
                 self.writer = None
                 self.record.write(
@@ -102,65 +101,13 @@
             self.writer.close()
         return status
 
-    async def _was_request_read(self):
-        """Whether the other process had read all of the request when it closed the connection.
-
-        A close over unread bytes, and bytes that arrive after it, are answered with a reset. Without a reset,
-        and with all bytes acknowledged, the process has read them."""
-        await asyncio.sleep(RESET_WAIT_SECONDS)
-        sock = self.writer.get_extra_info("socket")
-        try:
-            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 28)
-        except OSError:
-            return False
-        state, unacknowledged = info[0], struct.unpack_from("I", info, 24)[0]
-        return state == TCP_CLOSE_WAIT and not unacknowledged
-
-
-async def ask_ready(address):
-    """Whether a process says yes to the operators' call `readyz`."""
-    with contextlib.suppress(OSError, TimeoutError):
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(*address)
-            writer.write(b"readyz\n")
-            line = await reader.readline()
-            writer.close()
-            return line.startswith(b"+OK")
-    return False
-
-
-async def start_process(name, config, folder, record, listener):
-    """Starts a process that inherits the clients' listening socket, and waits until it says yes."""
-    mgmt = ("127.0.0.1", find_free_port())
-    process = Dispatcher(
-        name,
-        {**config, "mgmt": "{}:{}".format(*mgmt)},
-        folder,
-        record,
-        {"RELAY_LISTEN_FD": str(listener.fileno())},
-    )
-    await process.start(pass_fds=(listener.fileno(),))
-    for _ in range(120):
-        if await ask_ready(mgmt):
-            record.write("ready", name=name)
-            return process
-        if process.process.returncode is not None:
-            break
-        await asyncio.sleep(0.05)
-    await process.end()
-    raise CannotRunError(f"{name} is not ready")
-
 
 async def replace(old, config, folder, record, listener):
     """Replaces the process as the platform does; returns the new one."""
-    new = await start_process("new", config, folder, record, listener)
+    new = await launch_process("new", config, folder, record, listener)
+    await wait_until_yes(new, record)
     old.send_signal(signal.SIGTERM)
-    try:
-        await asyncio.wait_for(old.process.wait(), MAX_STOP_SECONDS)
-    except TimeoutError:
-        old.send_signal(signal.SIGKILL)
-        await old.process.wait()
-    record.write("old_ended", status=old.process.returncode)
+    await wait_until_ended(old, record, MAX_STOP_SECONDS)
     return new
 
 
@@ -185,7 +132,8 @@
         clients = [BusyClient(number, address, record) for number in range(CLIENTS)]
         stop = asyncio.Event()
         try:
-            processes.append(await start_process("old", config, folder, record, listener))
+            processes.append(await launch_process("old", config, folder, record, listener))
+            await wait_until_yes(processes[0], record)
             await asyncio.sleep(1.2)
             tasks = [asyncio.create_task(client.run(stop)) for client in clients]
             await asyncio.sleep(0.5)
