--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 import tempfile
 from pathlib import Path
 
-from review.common.dispatcher import CannotRunError, Client, Dispatcher, build_config, category
+from review.common.dispatcher import Client, Dispatcher, build_config, category
 from review.common.link import Link
 from review.common.record import Record
 from review.common.worker import Discovery, KeyTable, Worker
@@ -102,7 +102,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             return asyncio.run(asyncio.wait_for(play(record, has_trouble, folder), 100))
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except Exception as error:  # whatever it is, no rule was judged
             record.write("cannot_run", why=repr(error))
             return 2
         finally:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 from review.common.connection import was_request_read
-from review.common.dispatcher import CannotRunError, Client, build_config, category
+from review.common.dispatcher import Client, build_config, category
 from review.common.http import MessageError, read_body, read_head
 from review.common.platform import launch_process, wait_until_ended, wait_until_yes
 from review.common.record import Record
@@ -139,7 +139,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             return asyncio.run(asyncio.wait_for(play(record, has_replacement, has_new_settings, folder), 100))
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except Exception as error:  # whatever it is, no rule was judged
             record.write("cannot_run", why=repr(error))
             return 2
         finally:
