--- a/review/common/dispatcher.py
+++ b/review/common/dispatcher.py
@@ -39,7 +39,7 @@
         self.path.write_text(json.dumps(self.config), encoding="utf-8")
 
     async def start(self, **options):
-        """Starts the process in a session of its own and waits until it is ready."""
+        """Starts the process; it may not be ready yet."""
         self.write_config()
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["run"]
         environ = {
