Stop: the last log line tells open connections and bytes read but not examined

The line 'stopped' gains clients= (open connections) and unread= (with bytes taken from the kernel and not examined).

--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -371,6 +371,11 @@
             for client in self.clients
         )
 
+    def count_unread(self):
+        """Returns the number of connections whose client has sent bytes that this process has taken from the
+        kernel and not examined yet."""
+        return sum(client.reader.unread > 0 for client in self.clients)
+
     def set_keep_alive(self, on):
         """Sets whether connections stay open after their next answers."""
         self.keeps_alive = on
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -421,6 +421,8 @@
         log.info(
             "stopped",
             unanswered=self.engine.count_unanswered(),
+            clients=len(self.listener.clients),
+            unread=self.listener.count_unread(),
             seconds=round(self.loop.time() - stop_began_at, 3),
         )
 
