Stop: requests that were read are answered before the process ends

Cause: Program._shut_down ended by the clock alone. Nothing stopped the reading before the end, and nothing waited for answers to what had been read: asyncio.run cancelled the clients' tasks. With a hand-over, keep-alive was never switched off either and idle connections were not passed on in the last 0.3 s.

Why it works: Listener.finish, the last step of every stop, ends all reading first, answers what was read and then closes; what comes later is unread in the kernel, which resets the connection. After the time for work is over each answer ends its connection, so a busy client reconnects to the successor instead of racing the end.

--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -26,6 +26,7 @@
 MIN_IDLE_SECONDS = 1.0  # a regular client's connection idle for less is not evicted to make room
 MAX_UNREAD_BYTES = 128 * 1024  # bytes of answers that a client may leave unread
 MAX_DISCARDED_BYTES = 64 * 1024  # limit of the input read and discarded after the last answer
+FINISH_POLL_SECONDS = 0.001  # interval of checks for requests that are read and not answered
 LISTEN_BACKLOG = 512  # established connections that the kernel queues until they are accepted
 
 
@@ -160,6 +161,15 @@
         self.listener.update_eviction_group(self)
         self.set_read_timeout(self._get_read_timeout())
 
+    def stop_reading(self):
+        """Reads nothing more, unless the last answer is written: what follows it is discarded."""
+        if not self.ended:
+            self.writer.transport.pause_reading()
+
+    def owes_answer(self):
+        """Whether a request that was read, as far as is known, has no answer yet."""
+        return not self.ended and (self.protocol.has_unanswered_request or self.reader.unread > 0)
+
     def has_unread_input(self):
         """Whether input of the client has arrived that is not read yet, which may be the connection's end."""
         return not sockets.is_quiet(self.reader, self.writer, self.engine.machine)
@@ -388,3 +398,18 @@
     def close(self):
         """Stops listening."""
         self.server.close()
+
+    async def finish(self, seconds):
+        """Ends all connections. From now on nothing more is read, so that what arrives is still unread when
+        its connection closes: the kernel then resets the connection, which tells the client that its request
+        was not read. Requests that were read before get their answers first, within this time."""
+        end = self.engine.loop.time() + seconds
+        while True:
+            for client in self.clients:
+                client.stop_reading()
+            if self.engine.loop.time() >= end or not any(client.owes_answer() for client in self.clients):
+                break
+            await asyncio.sleep(FINISH_POLL_SECONDS)
+        for client, task in self.clients.items():
+            if not client.ended:
+                task.cancel()
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -26,6 +26,8 @@
 NEW_CONNECTIONS_SECONDS = 0.5  # a load balancer may send new connections for this long after SIGTERM
 KEPT_CONNECTIONS_SHARE = 0.5  # part of the stop during which clients may go on using their connections
 LAST_RESPONSES_SECONDS = 0.3  # time that clients have to read their last responses
+# How long requests that were read before all reading ended may wait for their answers.
+LAST_ANSWERS_SECONDS = 0.1
 # How long a starting process waits for discovery before it uses the list of workers in its configuration.
 FIRST_LIST_TIMEOUT_SECONDS = 0.5
 FIRST_EPOCH_SECONDS = 1.0  # how long workers without any known state count as closed
@@ -86,6 +88,7 @@
         )
         self.engine.workers, self.engine.discovery = self.workers, self.discovery
         self.listener = Listener(self.engine, budget, self.counters)
+        self.handover_receiver = self.handover_sender = None
         if self.sock is not None:
             folder = machine.get_shared_folder()
             self.handover_receiver = HandoverReceiver(self.engine, self.listener, folder, self.counters)
@@ -379,7 +382,7 @@
         self.engine.stop(stop_began_at + stop_seconds - self.loop.time())
         has_closed_idle = False
         while (now := self.loop.time()) < stop_began_at + stop_seconds:
-            if has_handover and self.handover_sender.sock is not None:
+            if self._has_handover():
                 await self.handover_sender.hand_over_clients()
             elif not has_closed_idle and now > stop_began_at + keep_seconds:
                 has_closed_idle = True
@@ -392,21 +395,8 @@
             ):
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
-        self.listener.close()
-        # A connection accepted just before is still on its way to a client's task. Waiting here guards
-        # against losing work on such a connection, and work whose request began before the listener closed.
-        listener_closed_at = self.loop.time()
-        while (now := self.loop.time()) < listener_closed_at + LAST_RESPONSES_SECONDS or (
-            now < stop_began_at + stop_seconds + LAST_RESPONSES_SECONDS
-            and (self.engine.count_unanswered() or self.listener.is_receiving_request())
-        ):
-            if (
-                now > listener_closed_at + ACCEPTED_INPUT_SECONDS
-                and not self.listener.clients
-                and not self.engine.count_unanswered()
-            ):
-                break
-            await asyncio.sleep(STOP_POLL_SECONDS)
+        await self._serve_last_requests(stop_began_at + stop_seconds + LAST_RESPONSES_SECONDS)
+        await self.listener.finish(LAST_ANSWERS_SECONDS)
         if has_handover:
             self.handover_sender.close()
             log.info("passed_on", connections=self.handover_sender.sent_count)
@@ -426,6 +416,33 @@
             seconds=round(self.loop.time() - stop_began_at, 3),
         )
 
+    def _has_handover(self):
+        """Whether another process takes over clients now."""
+        return self.handover_sender is not None and self.handover_sender.sock is not None
+
+    async def _serve_last_requests(self, until):
+        """Answers requests that still arrive on open connections, up to this event loop time at the latest.
+        Each answer ends its connection, as no further request can be served here."""
+        self.listener.set_keep_alive(False)
+        self.listener.close()
+        # A connection accepted just before is still on its way to a client's task. Waiting here guards
+        # against losing work on such a connection, and work whose request began before the listener closed.
+        listener_closed_at = self.loop.time()
+        while (now := self.loop.time()) < listener_closed_at + LAST_RESPONSES_SECONDS or (
+            now < until and (self.engine.count_unanswered() or self.listener.is_receiving_request())
+        ):
+            if self._has_handover():
+                await self.handover_sender.hand_over_clients()
+            else:
+                self.listener.close_idle_clients()
+            if (
+                now > listener_closed_at + ACCEPTED_INPUT_SECONDS
+                and not self.listener.clients
+                and not self.engine.count_unanswered()
+            ):
+                break
+            await asyncio.sleep(STOP_POLL_SECONDS)
+
 
 def _format_address(address):
     """Returns the address as host:port."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,6 +32,8 @@
 hypothesis.settings.register_profile("same", derandomize=True, deadline=None, database=None, max_examples=200)
 hypothesis.settings.load_profile("same")
 
+pytest_plugins = ["in_process"]  # the fixture run_in_process
+
 MS = 1_000_000
 ROOT = pathlib.Path(__file__).parent.parent
 # A test fails if the program logs one of these.
