Repeats of ticketed work have to arrive before the window for repeats ends

Cause: the window was checked when a worker was chosen and not while the hand-off was connecting, waiting for the ledger, being written or out; until its deadline the kernel went on trying to deliver it.

Why it works: a response proves that the request arrived. HandOff.respond_by gives a repeat up at the end of the window unless its worker has responded, and closing drops what the kernel has not delivered. A repeat that was taken in time may run to its deadline as before, so it costs nothing that was still allowed.

--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -353,6 +353,9 @@
     # Time for the worker to confirm that it has the work item, if workers report that; 0: no limit.
     patience: int = 0
     slow_start: SlowStartNote | None = None  # only for a worker in slow start
+    # The clock time by which the worker has to have responded, else the hand-off is given up and nothing of
+    # it may arrive later: the end of the window in which workers drop a repeat; 0: no such limit.
+    respond_by: int = 0
 
 
 class Defer(NamedTuple):
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -419,7 +419,7 @@
         if action.slow_start is not None:
             self.workers.log_slow_start(item, ho_number, action.worker, action.slow_start)
         until = min(action.until, item.expiry) if action.until else item.expiry
-        self.workers.start_hand_off(item, ho_number, action.worker, until, action.patience)
+        self.workers.start_hand_off(item, ho_number, action.worker, until, action.patience, action.respond_by)
 
     def _cancel_hand_off(self, action):
         """Carries out a Cancel action, unless the hand-off has ended."""
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -69,6 +69,7 @@
         "worker",
         "until",
         "patience",
+        "respond_by",
         "begun_at",
         "task",
         "outcome",
@@ -76,16 +77,24 @@
         "is_sending",
     )
 
-    def __init__(self, workers, item, number, worker, until, patience):
+    def __init__(self, workers, item, number, worker, until, patience, respond_by=0):
         self.workers, self.item, self.number, self.worker = workers, item, number, worker
         # The clock time at which to give up, and the time within which the worker has to respond (0: any).
         self.until, self.patience = until, patience
+        # The clock time at which to give up if the worker has not responded yet. A response proves that the
+        # request arrived, so one that arrives later than this is never sent, or dropped unsent.
+        self.respond_by = min(until, respond_by) if respond_by else until
         self.begun_at = workers.machine.now()
         self.task = None
         self.outcome = None
         self.connection = None  # set once the request is sent
         self.is_sending = False  # whether the request is begun and its last byte not written yet
 
+    @property
+    def needs_response(self):
+        """Whether it may be given up before its time is up, if the worker does not respond."""
+        return self.patience > 0 or self.respond_by < self.until
+
     def set_outcome(self, completion):
         """Reports its outcome to the engine; only the first one counts."""
         if self.outcome is None:
@@ -304,10 +313,12 @@
         """Logs why a hand-off to a worker in slow start was allowed."""
         self.log.log_slow_start_hand_off(item, ho_number, self.by_number[worker_number].host, note)
 
-    def start_hand_off(self, item, ho_number, worker_number, until, patience):
+    def start_hand_off(self, item, ho_number, worker_number, until, patience, respond_by=0):
         """Hands a work item off to a worker. `until` is the clock time at which to give up, `patience` the
-        nanoseconds within which the worker has to respond; 0: no such limit."""
-        ho = ActiveHandOff(self, item, ho_number, self.by_number[worker_number], until, patience)
+        nanoseconds within which the worker has to respond, `respond_by` the clock time by which it has to;
+        0: no such limit."""
+        worker = self.by_number[worker_number]
+        ho = ActiveHandOff(self, item, ho_number, worker, until, patience, respond_by)
         self.counters.check_invariant(not self._is_past_drain_grace(ho.worker), "no_hand_off_past_the_grace")
         self._start_task(ho, self._run_hand_off(ho))
 
@@ -344,7 +355,7 @@
             and ho.outcome is None
             and not connection.reader.unread
             and not connection.protocol.is_complete
-            and (connection.protocol.has_responded or not ho.patience)
+            and (connection.protocol.has_responded or not ho.needs_response)
             and not connection.writer.is_closing()
         )
 
@@ -466,7 +477,7 @@
             # A worker's `declined` names no work item. It proves that this one never ran only on a
             # connection that can't carry a late second answer to an earlier work item.
             min_idle_ns = 0 if ho.item.effect == interface.Effect.RERUNNABLE else self._connect_timeout_ns
-            connection = connection or await self._connect(ho.worker, ho.until, min_idle_ns)
+            connection = connection or await self._connect(ho.worker, ho.respond_by, min_idle_ns)
         except UnreachableError:
             ho.set_outcome(Completion(interface.Outcome.CONNECT_FAILED))
             return
@@ -481,10 +492,10 @@
             )
             if not sent:
                 await self._wait_for_client_input(ho.item)
-            moot = ho.item.ended or not recorded or self.machine.now() >= ho.until
+            moot = ho.item.ended or not recorded or self.machine.now() >= ho.respond_by
             if not sent and (moot or self._is_past_drain_grace(ho.worker)):
-                # While the connection was established, the client left, or the time of the work item or the
-                # worker's grace ran out: nothing is sent.
+                # While the connection was established, the client left, or the time of the work item, the
+                # window for its repeats or the worker's grace ran out: nothing is sent.
                 ho.set_outcome(
                     Completion(interface.Outcome.MOOT if moot else interface.Outcome.CONNECT_FAILED)
                 )
@@ -527,7 +538,7 @@
         connection.writer.write(connection.protocol.encode_hand_off(ho.item.job, seconds))
         ho.is_sending = True
         try:
-            async with asyncio.timeout(seconds):
+            async with asyncio.timeout(self._compute_seconds_until(ho.respond_by)):
                 await connection.writer.drain()
         except TimeoutError:
             raise
@@ -541,7 +552,9 @@
     async def _receive_answer(self, ho, connection):
         """Reads the answer to a hand-off up to its outcome. Raises TimeoutError."""
         worker_protocol = connection.protocol
-        respond_by = min(ho.until, self.machine.now() + ho.patience) if ho.patience else ho.until
+        respond_by = ho.respond_by
+        if ho.patience:
+            respond_by = min(respond_by, self.machine.now() + ho.patience)
         while not worker_protocol.is_complete:
             seconds = self._compute_seconds_until(ho.until if worker_protocol.has_responded else respond_by)
             data = await sockets.read_within(connection.reader, seconds)
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -725,7 +725,9 @@
             for other in self._sample_workers(self.ready_workers)
         )
         patience = self.terms.connect_timeout // 2 if may_leave_worker else 0
-        self.actions.append(HandOff(wi.id, worker.id, 0, patience, slow_start))
+        is_repeat = wi.category.effect == Effect.TICKETED and wi.first_possible_run is not None
+        respond_by = wi.compute_window_end() if is_repeat else 0
+        self.actions.append(HandOff(wi.id, worker.id, 0, patience, slow_start, respond_by))
         if self.terms.progress_interval:
             self._check_progress(ho)
 
--- a/heronwinch/rehearsal/faults.py
+++ b/heronwinch/rehearsal/faults.py
@@ -109,8 +109,8 @@
     """Sends a copy of a hand-off to another worker before the first has answered."""
 
     def make_replacement(original):
-        def start_hand_off(self, item, number, worker, until, patience):
-            original(self, item, number, worker, until, patience)
+        def start_hand_off(self, item, number, worker, until, patience, respond_by):
+            original(self, item, number, worker, until, patience, respond_by)
             if len(self.by_number) > 1 and not item.in_flight > 1:
                 other = next(candidate for candidate in self.by_number if candidate != worker)
                 connecting = self._connect(self.by_number[other], until)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -251,7 +251,7 @@
         engine.accept_job(JOB, CallRecorder(), engine.machine.now())
         await run_loop_turns()
         assert type(modules[0].batches[0][0]) is interface.PlannedStop
-        ((_, item, number, worker, until, _),) = engine.workers.get_calls("start_hand_off")
+        ((_, item, number, worker, until, _, _),) = engine.workers.get_calls("start_hand_off")
         assert until == engine.stop_at < engine.machine.now() + 200 * MS
 
     run_engine(scene, {interface.Arrived: return_hand_off})
