Hand-over: a work item is the successor's only once it has accepted it

Cause: the stopping process let go of a client as it sent the message, and compared its work with a hello that the successor had sent once.

Why it works: each client is offered and gets a verdict; until then the stopping process keeps duplicates of the descriptors. A refusal or the successor's death brings the client back. Accepted work is never taken back, and an offer without a verdict stays the successor's, so never two serve it. Work that nobody can take any more is answered 503 or 500 at once. The time of an offer in the queue counts in ages, so deadlines and windows stay those of real time.

The hello no longer lists categories, so its test changes: messages of the version before are still told from ours, and all three decoders get the bad input that one and a half got before.

--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -9,6 +9,7 @@
 from heronwinch.net.diagnostics import AnswerLog
 from heronwinch.net.identifiers import NumberPool, RecentIds
 from heronwinch.protocol.clients import AdmissionRules, encode_path_segment
+from heronwinch.protocol.handover import RepeatRules
 
 log = structlog.get_logger()
 
@@ -36,6 +37,7 @@
         "initial_time_left",
         "sent_to",
         "in_ledger",
+        "repeat_rules",
     )
 
     def __init__(self, number, job, client, effect, accepted_at, initial_time_left):
@@ -50,6 +52,7 @@
         self.is_orphaned = False  # whether the module instance that handed it off was replaced
         self.expiry_timer = None
         self.in_ledger = False  # whether the ledger has a record of it
+        self.repeat_rules = None  # the RepeatRules of its category when it was accepted
 
 
 class Engine:
@@ -198,19 +201,20 @@
             - ANSWER_MARGIN_NS
             + (category_terms.expiry if job.time_left is None else job.time_left),
         )
-        item = self._add_item(job, client, category_terms.effect, self.machine.now(), time_left)
+        item = self._add_item(job, client, category_terms, self.machine.now(), time_left)
         if self.ledger is not None and category_terms.effect != interface.Effect.RERUNNABLE:
             self.ledger.admit_item(item, category_number)
         else:
             self.post(self.make_arrived_event(item, category_number))
         return item
 
-    def _add_item(self, job, client, effect, accepted_at, initial_time_left):
+    def _add_item(self, job, client, category_terms, accepted_at, initial_time_left):
         """Adds a work item with its expiry timer. A planned stop shortens its expiry."""
         self.accepted_count += 1
         item = self.items[self.accepted_count] = WorkItem(
-            self.accepted_count, job, client, effect, accepted_at, initial_time_left
+            self.accepted_count, job, client, category_terms.effect, accepted_at, initial_time_left
         )
+        item.repeat_rules = _get_repeat_rules(category_terms)
         if self.stop_at is not None:
             item.expiry = min(item.expiry, self.stop_at)
         self._set_expiry_timer(item)
@@ -234,18 +238,23 @@
             False,
         )
 
-    def get_category_effects(self):
-        """Returns the categories with their effects, for which another process may hand over work items."""
-        return {path: int(self.terms.categories[i].effect) for path, i in self.category_numbers.items()}
+    def can_resume_item(self, client_state):
+        """Whether the category of a work item is served here with the rules under which it was accepted. A
+        work item keeps these, whatever the settings say later."""
+        category_number = self.category_numbers.get(client_state.job.category)
+        return (
+            category_number is not None
+            and _get_repeat_rules(self.terms.categories[category_number]) == client_state.repeat_rules
+        )
 
     def resume_item(self, client_state, client, streams):
         """Continues a work item that another process has handed over. `streams` are the reader and writer
         of the worker's connection if a hand-off is in flight, else None."""
         job, now = client_state.job, self.machine.now()
         category_number = self.category_numbers[job.category]
-        effect = self.terms.categories[category_number].effect
+        category_terms = self.terms.categories[category_number]
         self.recent_ids.add(job.id)
-        item = self._add_item(job, client, effect, now - client_state.age, client_state.given)
+        item = self._add_item(job, client, category_terms, now - client_state.age, client_state.given)
         if (listed := self.workers.add_unlisted_workers(client_state.hosts)) is not None:
             self.post(listed)
         inherited = tuple(
@@ -264,6 +273,15 @@
             self.workers.resume_hand_off(item, inherited[-1], client_state.heard, streams)
         return item
 
+    def answer_unresumable_item(self, client_state, client):
+        """Answers a work item that another process has handed over and that can't be continued here: written
+        off if it may have run and is not rerunnable, else deferred."""
+        may_have_run = any(ho.outcome not in interface.NEVER_RAN for ho in client_state.hand_offs)
+        if may_have_run and client_state.repeat_rules.effect != interface.Effect.RERUNNABLE:
+            self._send_answer(client, interface.WriteOff(0), b"")
+        else:
+            self._send_answer(client, interface.Defer(0, 0), b"")
+
     def hand_over(self, item):
         """Releases a work item that another process has taken over; it gets no answer here."""
         item.ended = True
@@ -485,3 +503,8 @@
         """Drops a work item once it is answered and none of its hand-offs is in flight."""
         if item.ended and not item.in_flight and self.items.pop(item.number, None) is not None:
             self.recent_ids.release(item.job.id)
+
+
+def _get_repeat_rules(category_terms):
+    """Returns the RepeatRules of a category."""
+    return RepeatRules(int(category_terms.effect), int(category_terms.group), category_terms.window)
--- a/heronwinch/net/handover.py
+++ b/heronwinch/net/handover.py
@@ -1,15 +1,17 @@
 """Hand-over of clients' connections and work items from a stopping process to its successor, which listens on
 the same socket.
 
-The successor binds a Unix socket of a known name. The stopping process connects, gets a hello, and sends one
-message for each client, with the descriptors of the client's and, if a hand-off is in flight, the worker's
-connection."""
+The successor binds a Unix socket of a known name. The stopping process connects, gets a hello, and offers
+each client in a message, with the descriptors of the client's and, if a hand-off is in flight, the worker's
+connection. It keeps duplicates of the descriptors until the successor's verdict. A client that is refused, or
+whose offer had no verdict when the successor died, is served on here."""
 
 import asyncio
 import contextlib
 import os
 import socket
 import struct
+from typing import NamedTuple
 
 import structlog
 
@@ -20,16 +22,23 @@
     ClientState,
     HandOffState,
     HandoverMessageError,
-    decode_client_state,
+    Offer,
+    Verdict,
     decode_hello,
-    encode_client_state,
+    decode_offer,
+    decode_verdict,
     encode_hello,
+    encode_offer,
+    encode_verdict,
 )
 
 log = structlog.get_logger()
 
 SUCCESSOR_SOCKET_NAME = "heronwinch.next"
 HELLO_TIMEOUT_SECONDS = 0.3  # time limit for the successor's hello
+MAX_PENDING_OFFERS = 64  # offers made at once; each holds up to two more descriptors until its verdict
+VERDICT_TIMEOUT_SECONDS = 0.1  # time that one round of offers waits for its verdicts
+VERDICT_POLL_SECONDS = 0.001  # interval of checks whether all verdicts have come
 MESSAGES_PER_LOOP_TURN = 16  # messages read in one event loop turn
 PEER_CREDENTIALS = struct.Struct("3i")  # struct ucred: process, user, group
 SOCKET_ERRORS = (OSError, ValueError, OverflowError)  # raised also for a path that is too long
@@ -87,7 +96,7 @@
         try:
             if _get_peer_ids(peer)[1] != os.getuid():
                 raise PermissionError
-            peer.send(encode_hello(self.engine.get_category_effects()))
+            peer.send(encode_hello())
         except OSError:
             peer.close()
             return
@@ -107,35 +116,77 @@
                 peer.close()
                 log.info("taken_over", connections=self.received_count)
                 return
-            task = asyncio.create_task(
-                self._resume_client(data, [socket.socket(fileno=number) for number in descriptors])
-            )
+            passed_sockets = [socket.socket(fileno=number) for number in descriptors]
+            task = asyncio.create_task(self._handle_offer(peer, data, passed_sockets))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def _resume_client(self, data, passed_sockets):
-        """Takes over one client with its connection and, if sent, that of its worker."""
+    async def _handle_offer(self, peer, data, passed_sockets):
+        """Takes over one client with its connection and, if sent, that of its worker, or refuses it."""
         try:
-            client_state = decode_client_state(data)
-            streams = [await sockets.connect(sock=sock) for sock in passed_sockets]
-            self.listener.resume_client(*streams[0], client_state, streams[1] if len(streams) > 1 else None)
-            self.received_count += 1
+            offer = decode_offer(data)
+            verdict = Verdict(offer.number, self._can_take_over(offer.client_state))
+            if not self._tell_verdict(peer, verdict) or verdict.is_accepted:
+                await self._take_over(offer, passed_sockets)
+                self.received_count += 1
+                return
+            self.counters.count("offer_refused")
         except (HandoverMessageError, OSError, LookupError):
             if self.counters.count("take_over_fault"):
                 log.exception("take_over_fault")
-            for sock in passed_sockets:
-                sock.close()
+        for sock in passed_sockets:
+            sock.close()
+
+    def _can_take_over(self, client_state):
+        """Whether this process can continue a client's work item by its own settings."""
+        job = client_state.job
+        return job is None or (
+            job.id not in self.engine.recent_ids and self.engine.can_resume_item(client_state)
+        )
+
+    def _tell_verdict(self, peer, verdict):
+        """Tells the other process the verdict; returns False if that process reads no verdicts any more. Then
+        nobody but this process can answer the client."""
+        try:
+            peer.send(encode_verdict(verdict))
+        except OSError:
+            return False
+        return True
+
+    async def _take_over(self, offer, passed_sockets):
+        """Serves a client from now on, or answers it if its work item can't be continued here."""
+        transit_ns = max(0, self.engine.machine.read_monotonic_clock() - offer.offered_at)
+        streams = [await sockets.connect(sock=sock) for sock in passed_sockets]
+        self.listener.resume_client(
+            *streams[0], offer.client_state.add_age(transit_ns), streams[1] if len(streams) > 1 else None
+        )
+
+
+class PendingOffer(NamedTuple):
+    """An offer without a verdict, with duplicates of the descriptors that went with it."""
+
+    offer: Offer
+    sockets: list[socket.socket]
+
+    def close(self):
+        """Closes the duplicates."""
+        for sock in self.sockets:
+            sock.close()
 
 
 class HandoverSender:
     """The stopping process's side. It passes its clients on to the successor."""
 
-    def __init__(self, engine, listener, workers, folder):
+    def __init__(self, engine, listener, workers, folder, counters):
         self.engine, self.listener, self.workers = engine, listener, workers
+        self.counters = counters
         self.path = os.path.join(folder, SUCCESSOR_SOCKET_NAME)
         self.sock = None
-        self.category_effects = {}  # effects of the categories that the successor accepts
-        self.sent_count = 0  # clients handed over
+        self.offers = {}  # number -> PendingOffer
+        self.offer_count = 0
+        self.accepted_count = 0  # clients that the successor has taken over
+        self.refused_ids = set()  # of the work items that it has refused
+        self.tasks = set()  # tasks that take clients back
 
     async def connect_to_successor(self):
         """Connects to the successor; returns whether it is there and takes over work."""
@@ -147,18 +198,27 @@
             if process == os.getpid() or user != os.getuid():
                 raise PermissionError
             async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
-                hello = decode_hello(await self.engine.loop.sock_recv(sock, MAX_MESSAGE_BYTES))
-            if hello.form != FORMAT_VERSION:
+                version = decode_hello(await self.engine.loop.sock_recv(sock, MAX_MESSAGE_BYTES))
+            if version != FORMAT_VERSION:
                 raise HandoverMessageError("the successor uses another format version")
         except (*SOCKET_ERRORS, HandoverMessageError):
             sock.close()
             return False
-        self.sock, self.category_effects = sock, hello.categories
+        self.sock = sock
+        self.engine.loop.add_reader(sock, self._read_verdicts)
         return True
 
     async def hand_over_clients(self):
-        """Hands over the clients for which that is possible now; the others stay, and may be tried again."""
+        """Offers the clients for which that is possible now; the others stay, and may be tried again. Without
+        verdicts on earlier offers no more are made."""
         clients = [client for client in self.listener.clients if self.listener.can_hand_over(client)]
+        while clients and not self.offers and self.sock is not None:
+            batch, clients = clients[:MAX_PENDING_OFFERS], clients[MAX_PENDING_OFFERS:]
+            await self._offer_clients(batch)
+            await self._wait_for_verdicts()
+
+    async def _offer_clients(self, clients):
+        """Offers these clients, if that is still possible once their connections are no longer read."""
         paused = {
             client: [end.writer.transport for end in self._get_connections(client)] for client in clients
         }
@@ -170,12 +230,24 @@
             await asyncio.sleep(0)
         self.engine.handle_pending_events()
         for client, transports in paused.items():
-            # Reading is not resumed on connections that were handed over, as the next bytes on them are for
-            # the successor.
-            if self.sock is None or not self._hand_over_client(client):
+            # Reading is not resumed on connections that were offered, as the next bytes on them are for the
+            # successor.
+            if self.sock is None or not self._offer_client(client):
                 for transport in transports:
                     transport.resume_reading()
 
+    async def _wait_for_verdicts(self):
+        """Waits until the offers are settled, for VERDICT_TIMEOUT_SECONDS at most. An offer without a verdict
+        stays the successor's, as nothing tells whether it has seen it."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(VERDICT_TIMEOUT_SECONDS):
+                while self.count_unsettled():
+                    await asyncio.sleep(VERDICT_POLL_SECONDS)
+
+    def count_unsettled(self):
+        """Returns the number of clients of which it is not settled yet which process serves them."""
+        return len(self.offers) + len(self.tasks)
+
     def _get_connections(self, client):
         """Returns the client and, if its hand-off in flight can be handed over, the connection to the
         worker."""
@@ -190,35 +262,18 @@
         ho = self.workers.hand_offs.get((item.number, len(item.outcomes) - 1))
         return ho if ho is not None and self.workers.can_hand_over(ho) else None
 
-    def _hand_over_client(self, client):
-        """Sends a client to the successor; returns whether the successor has it now."""
+    def _offer_client(self, client):
+        """Offers a client to the successor; returns whether that was possible."""
         if client not in self.listener.clients or not self.listener.can_hand_over(client):
             return False
         item, ho, ends = client.item, self._find_hand_off(client), self._get_connections(client)
-        if item is not None and (
-            item.ended
-            or item.is_orphaned
-            or item.in_flight != (ho is not None)
-            or self.category_effects.get(item.job.category) != item.effect
-            or not all(number in self.workers.by_number for number, _ in item.sent_to)
-        ):
+        if item is not None and not self._is_transferable(item, ho):
             return False
         if any(end.writer.transport.is_reading() for end in ends):
             return False  # the hand-off began after reading was paused
-        data = encode_client_state(
-            ClientState(client.job_count) if item is None else self._build_client_state(client, item, ho)
-        )
-        if data is None:
-            return False
-        try:
-            socket.send_fds(self.sock, [data], [end.writer.get_extra_info("socket").fileno() for end in ends])
-        except BlockingIOError:
-            return False
-        except OSError:
-            self.close()
+        if not self._send_offer(self._build_client_state(client, item, ho), ends):
             return False
-        # From here on the client is the successor's, even if taking it over fails there.
-        self.sent_count += 1
+        # From here on the client is the successor's, unless that refuses it or dies before it accepts.
         if ho is not None:
             self.workers.release_hand_off(ho)
         if item is not None:
@@ -226,8 +281,43 @@
         self.listener.release_client(client)
         return True
 
+    def _is_transferable(self, item, ho):
+        """Whether a work item, with its hand-off in flight or None, can be offered."""
+        return (
+            not item.ended
+            and not item.is_orphaned
+            and item.in_flight == (ho is not None)
+            and item.job.id not in self.refused_ids
+            and all(number in self.workers.by_number for number, _ in item.sent_to)
+        )
+
+    def _send_offer(self, client_state, ends):
+        """Sends an offer with the descriptors of these connections; returns whether it was sent."""
+        offer = Offer(self.offer_count + 1, self.engine.machine.read_monotonic_clock(), client_state)
+        # A work item that this process could not continue itself, after new settings, is not given away.
+        if client_state.job is not None and not self.engine.can_resume_item(client_state):
+            return False
+        data = encode_offer(offer)
+        if data is None:
+            return False
+        descriptors = [end.writer.get_extra_info("socket").fileno() for end in ends]
+        pending = PendingOffer(offer, [])
+        try:
+            for descriptor in descriptors:
+                pending.sockets.append(socket.socket(fileno=os.dup(descriptor)))
+            socket.send_fds(self.sock, [data], descriptors)
+        except OSError:
+            # It may be possible a moment later. If the successor has died, the end of the connection tells.
+            pending.close()
+            return False
+        self.offer_count += 1
+        self.offers[offer.number] = pending
+        return True
+
     def _build_client_state(self, client, item, ho):
-        """Returns the state of a client with a work item. `ho` is its hand-off in flight, or None."""
+        """Returns the state of a client. `item` is its work item and `ho` its hand-off in flight, or None."""
+        if item is None:
+            return ClientState(client.job_count)
         now = self.engine.machine.now()
         workers = [self.workers.by_number[number] for number, _ in item.sent_to]
         return ClientState(
@@ -242,10 +332,84 @@
             ),
             tuple(self.workers.make_listed_worker(worker) for worker in dict.fromkeys(workers)),
             bytes(ho.connection.received) if ho is not None else b"",
+            item.repeat_rules,
         )
 
-    def close(self):
-        """Ends the hand-over."""
+    # ---- verdicts
+
+    def _read_verdicts(self):
+        """Reads the verdicts that have arrived. The end of the connection tells that the successor died."""
+        while (data := self._receive_verdict()) is not None:
+            if not data:
+                self._take_back_all()
+                return
+            with contextlib.suppress(HandoverMessageError):
+                self._settle(decode_verdict(data))
+
+    def _receive_verdict(self):
+        """Returns the bytes of the next verdict, b"" at the end of the connection, None if none has come."""
+        try:
+            return self.sock.recv(MAX_MESSAGE_BYTES)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
+    def _settle(self, verdict):
+        """Acts on a verdict."""
+        pending = self.offers.pop(verdict.number, None)
+        if pending is None:
+            return
+        if verdict.is_accepted:
+            self.accepted_count += 1
+            pending.close()
+        else:
+            self.counters.count("offer_refused")
+            self._take_back(pending)
+
+    def _take_back_all(self):
+        """Serves all clients here again whose offers the successor had not accepted when it died."""
+        self._close_socket()
+        for number in list(self.offers):
+            self._take_back(self.offers.pop(number))
+
+    def _take_back(self, pending):
+        """Serves a client here again, and does not offer its work item a second time."""
+        if pending.offer.client_state.job is not None:
+            self.refused_ids.add(pending.offer.client_state.job.id)
+        task = asyncio.create_task(self._resume(pending))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _resume(self, pending):
+        """Continues a client as its successor would have done."""
+        offer = pending.offer
+        try:
+            streams = [await sockets.connect(sock=sock) for sock in pending.sockets]
+        except OSError:
+            if self.counters.count("take_over_fault"):
+                log.exception("take_over_fault")
+            pending.close()
+            return
+        transit_ns = self.engine.machine.read_monotonic_clock() - offer.offered_at
+        self.listener.resume_client(
+            *streams[0], offer.client_state.add_age(transit_ns), streams[1] if len(streams) > 1 else None
+        )
+
+    async def finish(self):
+        """Ends the hand-over. Verdicts that have arrived are acted on; the successor can't tell any others
+        from now on, and serves or answers the clients of offers that it has not settled yet."""
         if self.sock is not None:
-            self.sock.close()
-            self.sock = None
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RD)
+            while data := self._receive_verdict():
+                with contextlib.suppress(HandoverMessageError):
+                    self._settle(decode_verdict(data))
+            self._close_socket()
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+
+    def _close_socket(self):
+        self.engine.loop.remove_reader(self.sock)
+        self.sock.close()
+        self.sock = None
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -9,6 +9,7 @@
 from heronwinch.interface import SECOND
 from heronwinch.net import sockets
 from heronwinch.protocol.clients import (
+    AdmissionRules,
     ClientProtocol,
     ContinueResponse,
     Job,
@@ -16,7 +17,7 @@
     RejectedRequest,
     UnknownCategory,
 )
-from heronwinch.protocol.handover import HandoverMessageError, encode_job_request
+from heronwinch.protocol.handover import encode_job_request
 
 log = structlog.get_logger()
 
@@ -98,6 +99,13 @@
         since = self.request_began_at if self.job_count else self.connected_at
         return max(0.0, MAX_REQUEST_SECONDS - (self.engine.machine.now() - since) / SECOND)
 
+    def restore_request(self, job, closes):
+        """Brings the protocol into the state that it had in another process, which has accepted this job."""
+        admission_rules = self.protocol.rules
+        self.protocol.rules = AdmissionRules({job.category: job.ticket is not None}, ())
+        self.protocol.feed_data(encode_job_request(job, closes))
+        self.protocol.rules = admission_rules
+
     def set_read_timeout(self, seconds):
         """Changes the time limit of the read in progress; None: no limit."""
         if self.read_timeout is not None:
@@ -253,18 +261,18 @@
     def resume_client(self, reader, writer, client_state, worker_streams):
         """Continues to serve a client that another process has handed over, perhaps with its work item.
         `worker_streams` are the reader and writer of the worker's connection if a hand-off is in flight, else
-        None. Raises HandoverMessageError or LookupError if the work item can't be taken over."""
+        None. A work item that can't be continued here is answered."""
         client = Client(self, reader, writer)
         client.job_count = client_state.known
         if client_state.job is not None:
-            if [
-                type(event)
-                for event in client.protocol.feed_data(
-                    encode_job_request(client_state.job, client_state.closes)
-                )
-            ] != [Job]:
-                raise HandoverMessageError("the job cannot be turned into a valid head and body")
-            client.item = self.engine.resume_item(client_state, client, worker_streams)
+            client.restore_request(client_state.job, client_state.closes)
+            if self.engine.can_resume_item(client_state):
+                client.item = self.engine.resume_item(client_state, client, worker_streams)
+            else:
+                self.counters.count("resume_refused")
+                self.engine.answer_unresumable_item(client_state, client)
+                if worker_streams is not None:
+                    worker_streams[1].transport.abort()
         self.clients[client] = asyncio.create_task(self._serve(client))
         client.idle_since = self.engine.machine.now()
         self.update_eviction_group(client)
--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -41,6 +41,10 @@
         """Returns the clock time in nanoseconds."""
         return time.monotonic_ns() + self.offset
 
+    def read_monotonic_clock(self):
+        """Returns the system's monotonic clock in nanoseconds, which is the same in all of its processes."""
+        return time.monotonic_ns()
+
     def read_wall_clock_offset(self):
         """Returns by how many nanoseconds the system's wall clock is ahead of its monotonic clock."""
         return time.time_ns() - time.monotonic_ns()
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -92,7 +92,9 @@
         if self.sock is not None:
             folder = machine.get_shared_folder()
             self.handover_receiver = HandoverReceiver(self.engine, self.listener, folder, self.counters)
-            self.handover_sender = HandoverSender(self.engine, self.listener, self.workers, folder)
+            self.handover_sender = HandoverSender(
+                self.engine, self.listener, self.workers, folder, self.counters
+            )
             self.workers.keeps_received = True
         self.operators = Operators(self._run_operator_call, machine, self.counters)
         self.operator_calls = {
@@ -390,16 +392,16 @@
                 self.listener.close_idle_clients()
             if (
                 now > stop_began_at + accept_seconds
-                and not self.engine.count_unanswered()
+                and not self._count_unanswered()
                 and not self.listener.may_receive_requests(not has_successor)
             ):
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
         await self._serve_last_requests(stop_began_at + stop_seconds + LAST_RESPONSES_SECONDS)
-        await self.listener.finish(LAST_ANSWERS_SECONDS)
         if has_handover:
-            self.handover_sender.close()
-            log.info("passed_on", connections=self.handover_sender.sent_count)
+            await self.handover_sender.finish()
+            log.info("passed_on", connections=self.handover_sender.accepted_count)
+        await self.listener.finish(LAST_ANSWERS_SECONDS)
         if self.fleet is not None and not self.fleet.is_closed:
             self.fleet.close()
         self.operators.close()
@@ -420,6 +422,12 @@
         """Whether another process takes over clients now."""
         return self.handover_sender is not None and self.handover_sender.sock is not None
 
+    def _count_unanswered(self):
+        """Returns the number of work items that wait for their answer here, with the clients of which it is
+        not settled yet whether the successor serves them."""
+        unsettled = self.handover_sender.count_unsettled() if self.handover_sender is not None else 0
+        return self.engine.count_unanswered() + unsettled
+
     async def _serve_last_requests(self, until):
         """Answers requests that still arrive on open connections, up to this event loop time at the latest.
         Each answer ends its connection, as no further request can be served here."""
@@ -429,7 +437,7 @@
         # against losing work on such a connection, and work whose request began before the listener closed.
         listener_closed_at = self.loop.time()
         while (now := self.loop.time()) < listener_closed_at + LAST_RESPONSES_SECONDS or (
-            now < until and (self.engine.count_unanswered() or self.listener.is_receiving_request())
+            now < until and (self._count_unanswered() or self.listener.is_receiving_request())
         ):
             if self._has_handover():
                 await self.handover_sender.hand_over_clients()
@@ -438,7 +446,7 @@
             if (
                 now > listener_closed_at + ACCEPTED_INPUT_SECONDS
                 and not self.listener.clients
-                and not self.engine.count_unanswered()
+                and not self._count_unanswered()
             ):
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
--- a/heronwinch/protocol/handover.py
+++ b/heronwinch/protocol/handover.py
@@ -1,5 +1,7 @@
-"""The messages by which a stopping process hands its client connections over to its successor: the successor
-sends a hello, then the stopping process sends one message for each connection.
+"""The messages by which a stopping process hands its client connections over to its successor.
+
+The successor sends a hello. The stopping process then offers its connections, one message each, and the
+successor answers each offer with a verdict. An offer that is refused stays the stopping process's.
 
 Parser state is not transferred: the successor feeds its own state machines the bytes that those of the
 stopping process have received."""
@@ -10,20 +12,23 @@
 from heronwinch.protocol.clients import Job
 from heronwinch.protocol.discovery import ListedWorker
 
-FORMAT_VERSION = 1  # version of the messages; a process rejects any other
+FORMAT_VERSION = 2  # version of the messages; a process rejects any other
 BYTES_FIELDS = ("id", "target", "ticket", "body")  # the fields of a Job that hold bytes
 MAX_MESSAGE_BYTES = 192 * 1024
+# Raised while data that is not a message is decoded.
+_DECODE_ERRORS = (ValueError, TypeError, KeyError, AttributeError, RecursionError, OverflowError)
 
 
 class HandoverMessageError(ValueError):
     """The data is not a message of this format."""
 
 
-class Hello(NamedTuple):
-    """What the successor accepts: the categories by name, each with its Effect."""
+class RepeatRules(NamedTuple):
+    """What decides whether a work item may be handed off again. It keeps the rules it was accepted under."""
 
-    form: int
-    categories: dict[str, int]
+    effect: int  # an Effect
+    group: int  # a Group
+    window: int  # nanoseconds
 
 
 class HandOffState(NamedTuple):
@@ -46,55 +51,99 @@
     hand_offs: tuple[HandOffState, ...] = ()
     hosts: tuple[ListedWorker, ...] = ()  # the workers of the hand-offs
     heard: bytes = b""  # the bytes received so far from the worker that has not answered yet
+    repeat_rules: RepeatRules | None = None  # of the job's category when it was accepted
+
+    def add_age(self, nanoseconds):
+        """Returns the state as it is this much later."""
+        return self._replace(
+            age=self.age + nanoseconds,
+            hand_offs=tuple(ho._replace(age=ho.age + nanoseconds) for ho in self.hand_offs),
+        )
+
+
+class Offer(NamedTuple):
+    """A connection that the stopping process offers. The descriptors travel beside the message."""
+
+    number: int
+    offered_at: int  # nanoseconds of the system's monotonic clock, which both processes read
+    client_state: ClientState
+
+
+class Verdict(NamedTuple):
+    """The successor's answer to an offer. Once it has accepted, the connection is its own."""
 
+    number: int  # of the offer
+    is_accepted: bool
 
-def encode_hello(categories):
-    """Returns the bytes of a Hello."""
-    return json.dumps([FORMAT_VERSION, categories]).encode()
+
+def encode_hello():
+    """Returns the bytes of the hello, which tells the version of the messages."""
+    return json.dumps([FORMAT_VERSION]).encode()
 
 
 def decode_hello(data):
-    """Returns the Hello in `data`; raises HandoverMessageError if there is none."""
+    """Returns the version that a hello tells; raises HandoverMessageError if `data` is none."""
     try:
-        form, categories = json.loads(data)
-        return Hello(int(form), {str(name): int(effect) for name, effect in categories.items()})
-    except (ValueError, TypeError, AttributeError, RecursionError, OverflowError):
+        version, *_ = json.loads(data)
+        return int(version)
+    except _DECODE_ERRORS:
         raise HandoverMessageError("no hello") from None
 
 
-def encode_client_state(state):
-    """Returns the bytes of a message, None if they would exceed MAX_MESSAGE_BYTES."""
+def encode_verdict(verdict):
+    """Returns the bytes of a Verdict."""
+    return json.dumps(verdict).encode()
+
+
+def decode_verdict(data):
+    """Returns the Verdict in `data`; raises HandoverMessageError if there is none."""
+    try:
+        number, is_accepted = json.loads(data)
+        return Verdict(int(number), bool(is_accepted))
+    except _DECODE_ERRORS:
+        raise HandoverMessageError("no verdict") from None
+
+
+def encode_offer(offer):
+    """Returns the bytes of an Offer, None if they would exceed MAX_MESSAGE_BYTES."""
+    state = offer.client_state
     tree = state._asdict() | {"heard": _decode_latin1(state.heard)}
     if state.job is not None:
         tree["job"] = [_decode_latin1(part) if isinstance(part, bytes) else part for part in state.job]
-    data = json.dumps(tree, ensure_ascii=False).encode()
+    message = [offer.number, offer.offered_at, tree]
+    data = json.dumps(message, ensure_ascii=False).encode()
     return data if len(data) <= MAX_MESSAGE_BYTES else None
 
 
-def decode_client_state(data):
-    """Returns the ClientState in `data`; raises HandoverMessageError if there is none."""
+def decode_offer(data):
+    """Returns the Offer in `data`; raises HandoverMessageError if there is none."""
     try:
-        tree = json.loads(data)
-        job = tree["job"] and Job(
-            *(
-                part.encode("latin-1") if name in BYTES_FIELDS and part is not None else part
-                for name, part in zip(Job._fields, tree["job"], strict=True)
-            )
-        )
-        return ClientState(
-            int(tree["known"]),
-            bool(tree["closes"]),
-            job,
-            int(tree["age"]),
-            int(tree["given"]),
-            tuple(
-                HandOffState(str(host), int(age), int(outcome)) for host, age, outcome in tree["hand_offs"]
-            ),
-            tuple(ListedWorker(host, tuple(address), *rest) for host, address, *rest in tree["hosts"]),
-            tree["heard"].encode("latin-1"),
+        number, offered_at, tree = json.loads(data)
+        return Offer(int(number), int(offered_at), _parse_client_state(tree))
+    except _DECODE_ERRORS as error:
+        raise HandoverMessageError(f"no offer: {type(error).__name__}: {error}") from None
+
+
+def _parse_client_state(tree):
+    """Returns the ClientState in a decoded message."""
+    job = tree["job"] and Job(
+        *(
+            part.encode("latin-1") if name in BYTES_FIELDS and part is not None else part
+            for name, part in zip(Job._fields, tree["job"], strict=True)
         )
-    except (ValueError, TypeError, KeyError, AttributeError, RecursionError, OverflowError) as error:
-        raise HandoverMessageError(f"no message: {type(error).__name__}: {error}") from None
+    )
+    rules = tree["repeat_rules"]
+    return ClientState(
+        int(tree["known"]),
+        bool(tree["closes"]),
+        job,
+        int(tree["age"]),
+        int(tree["given"]),
+        tuple(HandOffState(str(host), int(age), int(outcome)) for host, age, outcome in tree["hand_offs"]),
+        tuple(ListedWorker(host, tuple(address), *rest) for host, address, *rest in tree["hosts"]),
+        tree["heard"].encode("latin-1"),
+        rules and RepeatRules(*map(int, rules)),
+    )
 
 
 def _decode_latin1(data):
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -476,11 +476,13 @@
             (handover.HandOffState("w1", 4, 0),),
             (LISTED_WORKER,),
             b"\xff\r\n",
+            handover.RepeatRules(2, 1, 7_500_000_000),
         ),
     ],
 )
-def test_a_client_state_is_decoded_as_it_was_encoded(client_state):
-    assert handover.decode_client_state(handover.encode_client_state(client_state)) == client_state
+def test_an_offer_is_decoded_as_it_was_encoded(client_state):
+    offer = handover.Offer(4, 9, client_state)
+    assert handover.decode_offer(handover.encode_offer(offer)) == offer
 
 
 @pytest.mark.parametrize("closes", [False, True])
@@ -500,18 +502,25 @@
 
 
 def test_messages_too_long_or_invalid_are_not_transferred():
-    assert (
-        handover.encode_client_state(
-            handover.ClientState(1, False, JOB._replace(body=b"\xff" * handover.MAX_MESSAGE_BYTES))
-        )
-        is None
-    )
-    assert handover.decode_hello(handover.encode_hello({"render": 1})) == (
-        handover.FORMAT_VERSION,
-        {"render": 1},
-    )
-    for data in (b"", b"{", b"[]", b'{"known": 1}', b"[1]", b"[1, 2]", b"\xff", b"[" * 100_000):
+    too_long = handover.ClientState(1, False, JOB._replace(body=b"\xff" * handover.MAX_MESSAGE_BYTES))
+    assert handover.encode_offer(handover.Offer(1, 2, too_long)) is None
+    assert handover.decode_hello(handover.encode_hello()) == handover.FORMAT_VERSION
+    for is_accepted in (True, False):
+        verdict = handover.Verdict(3, is_accepted)
+        assert handover.decode_verdict(handover.encode_verdict(verdict)) == verdict
+    # The hello of an earlier version has the categories besides.
+    assert handover.decode_hello(b'[1, {"render": 1}]') == 1
+    for data in (b"", b"{", b"[]", b'{"known": 1}', b"[[1]]", b"[{}, 2]", b"\xff", b"[" * 100_000):
+        for decode in (handover.decode_offer, handover.decode_verdict, handover.decode_hello):
+            with pytest.raises(handover.HandoverMessageError):
+                decode(data)
+    for data in (b"[1]", b"[1, 2]", b'[1, 2, {"known": 1}]', b"[1, 2, 3, 4]"):
         with pytest.raises(handover.HandoverMessageError):
-            handover.decode_client_state(data)
-        with pytest.raises(handover.HandoverMessageError):
-            handover.decode_hello(data)
+            handover.decode_offer(data)
+
+
+def test_a_client_state_ages_with_its_hand_offs():
+    hand_offs = (handover.HandOffState("w1", 4, 0), handover.HandOffState("w1", 2, 6))
+    aged = handover.ClientState(1, False, JOB, 5, 7, hand_offs).add_age(10)
+    assert (aged.age, aged.given) == (15, 7)
+    assert [ho.age for ho in aged.hand_offs] == [14, 12]
--- a/tests/test_stop_requests.py
+++ b/tests/test_stop_requests.py
@@ -35,7 +35,7 @@
 
     def __init__(self):
         self.sock = object()
-        self.sent_count = 0
+        self.accepted_count = 0
 
     async def connect_to_successor(self):
         return True
@@ -43,9 +43,15 @@
     async def hand_over_clients(self):
         await asyncio.sleep(0)
 
+    def count_unsettled(self):
+        return 0
+
     def close(self):
         self.sock = None
 
+    async def finish(self):
+        self.close()
+
 
 def add_successor(program):
     program._has_other_process = lambda: True
