Reload: new settings also take effect while a process stops

Cause: Program.reload returned at once with the stop event set.

Why it works: nothing that a reload changes depends on the stop; work under way keeps its category, and the end of the stop holds for what comes later. It ends where the parts are closed.

Measured: test_a_reload_while_the_program_stops_takes_effect failed on the text before; a reload after the stop is ignored, and its test fails without the line that ends reloads.

--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -283,9 +283,8 @@
             self.has_missed_reload = lambda: True
 
     def reload(self):
-        """Reads the configuration again and applies at once what can change in a running dispatcher."""
-        if self.stop_event.is_set():
-            return
+        """Reads the configuration again and applies at once what can change in a running dispatcher, also while
+        it stops: a successor gets the same signal, and both have to agree on what they serve."""
         old = self.config
         try:
             new = self.read_new_config()
@@ -402,6 +401,7 @@
             await self.handover_sender.finish()
             log.info("passed_on", connections=self.handover_sender.accepted_count)
         await self.listener.finish(LAST_ANSWERS_SECONDS)
+        self.is_serving = False
         if self.fleet is not None and not self.fleet.is_closed:
             self.fleet.close()
         self.operators.close()
--- a/tests/test_operating.py
+++ b/tests/test_operating.py
@@ -352,6 +352,38 @@
     run_simulated(scenario, workers=4)
 
 
+def test_a_reload_while_the_program_stops_takes_effect(run_simulated):
+    # Guards against a stopping process and its successor that serve different categories.
+    async def scenario(harness):
+        harness.process.terminate()
+        await asyncio.sleep(0.1)
+        set_categories(harness, ("render", None), ("weigh", {"effect": "fragile"}))
+        harness.write_config()
+        await reload_and_wait(harness)
+        assert (await harness.send_job("/render/1"))[0] == 404
+        assert (await harness.send_job("/weigh/1"))[0] == 200
+
+    run_simulated(scenario)
+
+
+def test_a_reload_that_comes_after_the_stop_changes_nothing(run_in_process):
+    async def scenario(harness):
+        program = harness.program
+        close_discovery = program.discovery.close
+
+        def close_and_get_signal():
+            close_discovery()
+            harness.config_changes["discovery"] = "127.0.0.1:1"
+            program._handle_sighup()
+
+        program.discovery.close = close_and_get_signal
+        program.stop_event.set()
+        await harness.program_task
+        assert program.config.discovery != ("127.0.0.1", 1)
+
+    run_in_process(scenario)
+
+
 def truncate(tree):
     return json.dumps(tree)[:-40]
 
