Reload: a lowered limit of hand-offs also holds for work that waits for its next one

Why it works: with new terms all that waits is looked at again, and what may not be handed off any more is answered at once.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -927,6 +927,10 @@
                     old_states[old_number].run_samples,
                 )
         self.bound_kinds = {state.kind for state in self.category_states}
+        for wi in list(self.work_items.values()):
+            # The limit of hand-offs was last checked when the work item began to wait.
+            if wi.waiting_for is not None and wi.hand_offs and not self._may_hand_off_again(wi):
+                self._end_work_item(wi, self._build_final_answer(wi))
 
     def _on_fleet_view(self, event):
         """The membership view of the dispatchers changed."""
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -283,8 +283,8 @@
             self.has_missed_reload = lambda: True
 
     def reload(self):
-        """Reads the configuration again and applies at once what can change in a running dispatcher, also while
-        it stops: a successor gets the same signal, and both have to agree on what they serve."""
+        """Reads the configuration again and applies at once what can change in a running dispatcher, also
+        while it stops: a successor gets the same signal, and both have to agree on what they serve."""
         old = self.config
         try:
             new = self.read_new_config()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -692,6 +692,19 @@
     assert driver.dispatcher.category_states[0].expiry == 9000 * MS
 
 
+@pytest.mark.parametrize("limit, is_answered", [(1, True), (2, False)])
+def test_a_lowered_limit_of_hand_offs_holds_for_work_that_waits(make_driver, limit, is_answered):
+    # Guards against a limit that is checked when work begins to wait, and not when it is handed off.
+    driver = make_driver(workers=TWO_WORKERS[:1], category={"due_time": 4000 * MS})
+    driver.arrive(1, after=OPEN_AFTER_MS)
+    driver.answer(1, 0, 1, interface.Outcome.CONNECT_FAILED, after=10)
+    assert driver.list_tried_workers(1) == [1] and not driver.list_final_answers(1)  # the worker is closed
+    driver.handle_events(interface.TermsChange(TERMS._replace(most_hand_offs=limit), (0,)))
+    assert driver.list_final_answers(1) == (["Defer"] if is_answered else [])
+    driver.handle_events(after=3000)
+    assert len(driver.list_tried_workers(1)) == (1 if is_answered else 2)
+
+
 @pytest.mark.parametrize(
     "old, new, goes_again",
     [
