Stop: it ends before the earliest kill also where all deadlines are short

What callers would see: a platform may send SIGKILL 0.7 s after the longest expiry, counted from SIGTERM. With a longest expiry of 0.1 s the stop took 0.81 s, so requests could be read as the kill came.

Cause: the last part of a stop had a length of its own (0.3 s) on top of the least time of a stop (0.6 s).

Measured: test_a_stop_ends_before_the_earliest_kill, virtual time: expiry 0.1 s failed on the text before (0.811 s), 0.2, 0.3, 0.5 and 2 s passed on both; all pass now. A first form of the test, whose clients all sent, passed on the text before as well.

--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -26,6 +26,10 @@
 NEW_CONNECTIONS_SECONDS = 0.5  # a load balancer may send new connections for this long after SIGTERM
 KEPT_CONNECTIONS_SHARE = 0.5  # part of the stop during which clients may go on using their connections
 LAST_RESPONSES_SECONDS = 0.3  # time that clients have to read their last responses
+# A platform may kill a process this long after the longest expiry, counted from SIGTERM. The last step of a
+# stop takes up to MAX_FINISH_SECONDS of it.
+KILL_DELAY_SECONDS = 0.7
+MAX_FINISH_SECONDS = 0.2
 # How long requests that were read before all reading ended may wait for their answers.
 LAST_ANSWERS_SECONDS = 0.1
 # How long a starting process waits for discovery before it uses the list of workers in its configuration.
@@ -334,12 +338,16 @@
         """Stops in an orderly way: answers all accepted work, and accepts new connections for as long as
         clients are still sent here."""
         stop_began_at = self.loop.time()
-        stop_seconds = min(
+        longest_expiry_seconds = min(
             MAX_STOP_SECONDS,
             max(category.expiry for category in self.config.terms.categories) / interface.SECOND,
         )
         # Even where all work is short, a load balancer needs this time to notice the stop.
-        stop_seconds = max(stop_seconds, NEW_CONNECTIONS_SECONDS + ACCEPTED_INPUT_SECONDS)
+        stop_seconds = max(longest_expiry_seconds, NEW_CONNECTIONS_SECONDS + ACCEPTED_INPUT_SECONDS)
+        last_requests_until = stop_began_at + min(
+            stop_seconds + LAST_RESPONSES_SECONDS,
+            longest_expiry_seconds + KILL_DELAY_SECONDS - MAX_FINISH_SECONDS,
+        )
         # None (unknown) counts as a successor: a platform that holds the listening socket stops a process
         # only once the next one serves.
         has_successor = self._has_other_process() is not False
@@ -396,7 +404,7 @@
             ):
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
-        await self._serve_last_requests(stop_began_at + stop_seconds + LAST_RESPONSES_SECONDS)
+        await self._serve_last_requests(last_requests_until)
         if has_handover:
             await self.handover_sender.finish()
             log.info("passed_on", connections=self.handover_sender.accepted_count)
@@ -436,7 +444,7 @@
         # A connection accepted just before is still on its way to a client's task. Waiting here guards
         # against losing work on such a connection, and work whose request began before the listener closed.
         listener_closed_at = self.loop.time()
-        while (now := self.loop.time()) < listener_closed_at + LAST_RESPONSES_SECONDS or (
+        while (now := self.loop.time()) < min(listener_closed_at + LAST_RESPONSES_SECONDS, until) or (
             now < until and (self._count_unanswered() or self.listener.is_receiving_request())
         ):
             if self._has_handover():
--- a/tests/test_stop_requests.py
+++ b/tests/test_stop_requests.py
@@ -4,10 +4,12 @@
 import asyncio
 
 import pytest
-from in_process import encode_done_response, wait_until
+from conftest import encode_job
+from in_process import EXAMPLE_CONFIG, encode_done_response, wait_until
 
 from heronwinch import program as program_module
 
+EARLIEST_KILL_SECONDS = 0.7  # after the longest expiry of the deployment
 LONG_SECONDS = 60.0  # longer than anything that a stop waits for
 
 
@@ -165,3 +167,40 @@
         assert await read_to_end(reader) == (b"", True)
 
     run_in_process(scenario)
+
+
+@pytest.mark.parametrize("expiry_seconds", [0.1, 0.2, 0.3, 0.5, 2.0])
+def test_a_stop_ends_before_the_earliest_kill(run_simulated, expiry_seconds):
+    # A request that is read as SIGKILL comes is lost. That may be 0.7 s after the longest expiry.
+    async def scenario(harness):
+        streams = [await asyncio.open_connection(*harness.address) for _ in range(8)]
+        told_at = harness.kernel.now
+        harness.process.terminate()
+        tasks = [
+            asyncio.create_task(submit_until_closed(number, *connection))
+            for number, connection in enumerate(streams[::2])  # the other clients send nothing
+        ]
+        while harness.process.returncode is None:
+            await asyncio.sleep(0.001)
+        assert (harness.kernel.now - told_at) / 1e9 < expiry_seconds + EARLIEST_KILL_SECONDS
+        await asyncio.gather(*tasks)
+
+    short_categories = [
+        {**category, "due_time_ns": 10**7, "expiry_ns": int(expiry_seconds * 1e9)}
+        for category in EXAMPLE_CONFIG["settings"]["categories"]
+    ]
+    run_simulated(scenario, categories=short_categories)
+
+
+async def submit_until_closed(number, reader, writer):
+    """Sends requests on one connection, each as soon as the one before is answered, until it is closed."""
+    count = 0
+    try:
+        while True:
+            count += 1
+            writer.write(encode_job("/charge/1", id=f"c{number}-{count}", deadline="0.05"))
+            head = await reader.readuntil(b"\r\n\r\n")
+            if b" 200 " in head:
+                await reader.readuntil(b"HI")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
