Hand-over: both sides resume a client by one function, and one rule answers what nobody continues

The successor and a stopping process that takes a client back had the same lines for connecting, ageing and resuming; two methods of the engine had the same rule for 500 or 503. Each stands once now. Behaviour is as before, but that the time in transit is now read after the connections are wrapped on both sides, some loop turns later.

--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -181,11 +181,7 @@
     def _answer_without_module(self, item):
         """Answers a work item without the module: written off if it may have run and is not rerunnable, else
         deferred."""
-        may_have_run = any(outcome not in interface.NEVER_RAN for outcome in item.outcomes)
-        if may_have_run and item.effect != interface.Effect.RERUNNABLE:
-            self._end_item(item, interface.WriteOff(item.number))
-        else:
-            self._end_item(item, interface.Defer(item.number, 0))
+        self._end_item(item, _make_safe_answer(item.number, item.outcomes, item.effect))
 
     def accept_job(self, job, client, request_began_at):
         """Turns a client's job into a work item and returns it."""
@@ -276,11 +272,9 @@
     def answer_unresumable_item(self, client_state, client):
         """Answers a work item that another process has handed over and that can't be continued here: written
         off if it may have run and is not rerunnable, else deferred."""
-        may_have_run = any(ho.outcome not in interface.NEVER_RAN for ho in client_state.hand_offs)
-        if may_have_run and client_state.repeat_rules.effect != interface.Effect.RERUNNABLE:
-            self._send_answer(client, interface.WriteOff(0), b"")
-        else:
-            self._send_answer(client, interface.Defer(0, 0), b"")
+        outcomes = [ho.outcome for ho in client_state.hand_offs]
+        answer = _make_safe_answer(0, outcomes, client_state.repeat_rules.effect)
+        self._send_answer(client, answer, b"")
 
     def hand_over(self, item):
         """Releases a work item that another process has taken over; it gets no answer here."""
@@ -505,6 +499,15 @@
             self.recent_ids.release(item.job.id)
 
 
+def _make_safe_answer(number, outcomes, effect):
+    """Returns the answer to a work item for which nothing more is done: a WriteOff if it may have run and is
+    not rerunnable, else a Defer."""
+    may_have_run = any(outcome not in interface.NEVER_RAN for outcome in outcomes)
+    if may_have_run and effect != interface.Effect.RERUNNABLE:
+        return interface.WriteOff(number)
+    return interface.Defer(number, 0)
+
+
 def _get_repeat_rules(category_terms):
     """Returns the RepeatRules of a category."""
     return RepeatRules(int(category_terms.effect), int(category_terms.group), category_terms.window)
--- a/heronwinch/net/handover.py
+++ b/heronwinch/net/handover.py
@@ -52,6 +52,15 @@
     return process, user
 
 
+async def _resume_client(engine, listener, offer, passed_sockets):
+    """Serves an offered client in this process from now on. The time that the offer has taken counts."""
+    streams = [await sockets.connect(sock=sock) for sock in passed_sockets]
+    transit_ns = max(0, engine.machine.read_monotonic_clock() - offer.offered_at)
+    listener.resume_client(
+        *streams[0], offer.client_state.add_age(transit_ns), streams[1] if len(streams) > 1 else None
+    )
+
+
 class HandoverReceiver:
     """The successor's side. It takes over clients while the other process stops."""
 
@@ -127,7 +136,8 @@
             offer = decode_offer(data)
             verdict = Verdict(offer.number, self._can_take_over(offer.client_state))
             if not self._tell_verdict(peer, verdict) or verdict.is_accepted:
-                await self._take_over(offer, passed_sockets)
+                # An offer whose work item can't be continued here is answered.
+                await _resume_client(self.engine, self.listener, offer, passed_sockets)
                 self.received_count += 1
                 return
             self.counters.count("offer_refused")
@@ -153,14 +163,6 @@
             return False
         return True
 
-    async def _take_over(self, offer, passed_sockets):
-        """Serves a client from now on, or answers it if its work item can't be continued here."""
-        transit_ns = max(0, self.engine.machine.read_monotonic_clock() - offer.offered_at)
-        streams = [await sockets.connect(sock=sock) for sock in passed_sockets]
-        self.listener.resume_client(
-            *streams[0], offer.client_state.add_age(transit_ns), streams[1] if len(streams) > 1 else None
-        )
-
 
 class PendingOffer(NamedTuple):
     """An offer without a verdict, with duplicates of the descriptors that went with it."""
@@ -383,18 +385,12 @@
 
     async def _resume(self, pending):
         """Continues a client as its successor would have done."""
-        offer = pending.offer
         try:
-            streams = [await sockets.connect(sock=sock) for sock in pending.sockets]
+            await _resume_client(self.engine, self.listener, pending.offer, pending.sockets)
         except OSError:
             if self.counters.count("take_over_fault"):
                 log.exception("take_over_fault")
             pending.close()
-            return
-        transit_ns = self.engine.machine.read_monotonic_clock() - offer.offered_at
-        self.listener.resume_client(
-            *streams[0], offer.client_state.add_age(transit_ns), streams[1] if len(streams) > 1 else None
-        )
 
     async def finish(self):
         """Ends the hand-over. Verdicts that have arrived are acted on; the successor can't tell any others
