Log why connections of clients are closed, and the use of connections, memory and the loop

New lines client_closed and resources, counters client_evicted and client_not_reading. Measured: tests of net, moments, program, stops, rehearsal, diagnostics pass.

--- a/heronwinch/net/diagnostics.py
+++ b/heronwinch/net/diagnostics.py
@@ -115,6 +115,45 @@
         return "outcome_unknown" if type(answer) is interface.WriteOff else "no_worker_in_time"
 
 
+class ClientLog:
+    """Writes the log lines on clients whose connections the dispatcher closes or refuses."""
+
+    def __init__(self, machine, counters):
+        self.limiter = LineLimiter(machine, counters)
+
+    def log_closed(self, client, why, status=0, detail=""):
+        """The dispatcher ends a client's connection. `why` is one word, `status` the HTTP status that the
+        client is sent, 0 for none."""
+        if self.limiter.allows("client_closed_" + why):
+            log.info(
+                "client_closed",
+                client=client.number,
+                why=why,
+                status=status,
+                detail=detail,
+                id=_decode_id(client.item) if client.item is not None else "",
+                jobs=client.job_count,
+                unread=client.reader.unread,
+                unsent=client.writer.transport.get_write_buffer_size(),
+            )
+
+
+class LoopMonitor:
+    """Tells by how much the event loop was late for its periodic actions."""
+
+    def __init__(self):
+        self.longest_delay = 0.0  # seconds, since the last summary
+
+    def record(self, delay):
+        """Records that a periodic action began this many seconds after its time."""
+        self.longest_delay = max(self.longest_delay, delay)
+
+    def take_longest_delay(self):
+        """Returns the longest delay in seconds since the last call."""
+        delay, self.longest_delay = self.longest_delay, 0.0
+        return delay
+
+
 class WallClockMonitor:
     """Notices steps of the system's wall clock."""
 
--- a/heronwinch/net/identifiers.py
+++ b/heronwinch/net/identifiers.py
@@ -46,6 +46,9 @@
     def __contains__(self, id):
         return id in self.ids
 
+    def __len__(self):
+        return len(self.ids)
+
     def add(self, id):
         """Adds the id of a work item that is held from now on."""
         self.ids.add(id)
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -8,6 +8,7 @@
 
 from heronwinch.interface import SECOND
 from heronwinch.net import sockets
+from heronwinch.net.diagnostics import ClientLog
 from heronwinch.protocol.clients import (
     AdmissionRules,
     ClientProtocol,
@@ -36,6 +37,7 @@
 
     def __init__(self, listener, reader, writer):
         self.listener = listener
+        self.number = listener.number_client()
         self.engine = listener.engine
         self.reader, self.writer = reader, writer
         self.protocol = ClientProtocol(listener.admission_rules)
@@ -70,7 +72,7 @@
             return b""
         if not self.protocol.is_idle:
             self.listener.counters.count("request_too_slow")
-            self._reject(RejectedRequest(408, "the request did not come to its end"))
+            self._reject(RejectedRequest(408, "the request did not come to its end"), "request_too_slow")
             return b""
         with contextlib.suppress(TimeoutError):
             return await self._read_within(sockets.FINAL_READ_SECONDS)
@@ -144,9 +146,10 @@
             elif kind is RejectedRequest:
                 self._reject(event)
 
-    def _reject(self, rejection):
+    def _reject(self, rejection, why="bad_request"):
         """Answers a bad request, which ends the connection and the work item that it may have."""
         self.listener.counters.count("bad_request")
+        self.listener.log.log_closed(self, why, rejection.status, rejection.reason)
         if self.item is not None:
             item, self.item = self.item, None
             self.engine.handle_client_left(item)
@@ -159,6 +162,8 @@
         )
         self.writer.write(data)
         if self.writer.transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
+            self.listener.counters.count("client_not_reading")
+            self.listener.log.log_closed(self, "not_reading")
             self.writer.transport.abort()
         self._update_idle_state()
 
@@ -217,6 +222,8 @@
         self.admission_rules = engine.make_admission_rules()
         self.budget = budget
         self.counters = counters
+        self.log = ClientLog(engine.machine, counters)
+        self.client_count = 0  # connections accepted or resumed since the start
         self.clients = {}  # Client, until its descriptor is free -> its task
         # The groups from which connections are evicted to make room, in this order; in each of them the
         # client that has been there longest comes first.
@@ -230,6 +237,11 @@
         self.server = None
         self.sock = None
 
+    def number_client(self):
+        """Returns the number of a new connection, by which log lines name it."""
+        self.client_count += 1
+        return self.client_count
+
     def set_admission_rules(self, rules):
         """Sets the rules for requests whose head arrives from now on."""
         self.admission_rules = rules
@@ -256,6 +268,7 @@
             self.update_eviction_group(client)
         else:
             self.counters.count("client_turned_away")
+            self.log.log_closed(client, "turned_away", 503)
             self._refuse_for_lack_of_room(client)
 
     def resume_client(self, reader, writer, client_state, worker_streams):
@@ -363,15 +376,33 @@
             client = next((client for client in group if client.ended or not client.reader.unread), None)
             if client is not None:
                 del group[client]
+                self._log_eviction(client)
                 client.writer.transport.abort()
                 return True
         client = next(iter(self.idle_after_more_jobs), None)
         if client is None or self.engine.machine.now() - client.idle_since < MIN_IDLE_SECONDS * SECOND:
             return False
         del self.idle_after_more_jobs[client]
+        self._log_eviction(client)
         client.set_read_timeout(0)
         return True
 
+    def _log_eviction(self, client):
+        """Counts a client that is evicted, and logs it unless it has had its last answer."""
+        if not client.ended:
+            self.counters.count("client_evicted")
+            self.log.log_closed(client, "evicted")
+
+    def count_groups(self):
+        """Returns the numbers of connections by state, for the log."""
+        return {
+            "clients": len(self.clients),
+            "clients_new": len(self.new_clients),
+            "clients_idle": len(self.idle_after_one_job) + len(self.idle_after_more_jobs),
+            "clients_ending": len(self.answered_clients) + len(self.refusal_tasks),
+            "clients_unread": self.count_unread(),
+        }
+
     def may_receive_requests(self, accepts):
         """Whether further requests may arrive on open connections or, if `accepts`, in the listen queue."""
         return (
--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -132,6 +132,10 @@
         """Returns a Presence, which tells whether other processes serve the same socket."""
         return Presence(sock, self.get_shared_folder())
 
+    def read_peak_memory_mb(self):
+        """Returns the largest amount of memory that the process has had in use so far, in MiB."""
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
+
     def get_descriptor_limit(self):
         """Returns how many file descriptors the process may have open."""
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -8,7 +8,7 @@
 
 from heronwinch import interface
 from heronwinch.net.counters import FaultCounters
-from heronwinch.net.diagnostics import WallClockMonitor
+from heronwinch.net.diagnostics import LoopMonitor, WallClockMonitor
 from heronwinch.net.discovery import Discovery
 from heronwinch.net.engine import Engine
 from heronwinch.net.handover import HandoverReceiver, HandoverSender
@@ -68,6 +68,7 @@
         self.has_missed_reload = has_missed_reload
         self.loop = asyncio.get_running_loop()
         self.counters = FaultCounters()
+        self.loop_monitor = LoopMonitor()
         self.sock = self.presence = None  # an inherited listening socket and its other users
         if config.listen_fd is not None:
             self.sock = _open_socket(
@@ -318,15 +319,32 @@
             needs_restart=",".join(name for name in changed if name in ("listen", "mgmt")),
         )
 
-    def _run_periodically(self, seconds, action):
-        """Calls `action` now and then every `seconds` seconds."""
-        self.loop.call_later(seconds, self._run_periodically, seconds, action)
+    def _run_periodically(self, seconds, action, due_at=None):
+        """Calls `action` now and then every `seconds` seconds. `due_at` is the event loop time at which this
+        call was due."""
+        now = self.loop.time()
+        if due_at is not None:
+            self.loop_monitor.record(now - due_at)
+        self.loop.call_later(seconds, self._run_periodically, seconds, action, now + seconds)
         action()
 
     def _log_summary(self):
-        """Logs the counters of faults and the state of the decisions."""
+        """Logs the counters of faults, the state of the decisions, and the use of sockets and memory."""
         self.counters.log_summary()
         self.engine.log_module_state()
+        log.info(
+            "resources",
+            **self.listener.count_groups(),
+            client_limit=self.listener.budget.clients,
+            worker_connections=self.workers.open_count,
+            worker_connections_idle=len(self.workers.idle_connections),
+            worker_connection_limit=self.workers.max_connections,
+            work_items=len(self.engine.items),
+            ids=len(self.engine.recent_ids),
+            peak_memory_mb=self.machine.read_peak_memory_mb(),
+            memory_limit_mb=self.config.memory_mb,
+            loop_late_ms=round(self.loop_monitor.take_longest_delay() * 1000),
+        )
 
     def _log_uncaught(self, loop, context):
         """Handles an exception that nothing else caught: it is counted and logged, and the dispatcher goes
--- a/heronwinch/rehearsal/simulation/process.py
+++ b/heronwinch/rehearsal/simulation/process.py
@@ -264,5 +264,8 @@
     def create_listening_socket(self, host, port):
         return self.process.network.create_listener(self.process, host, port)
 
+    def read_peak_memory_mb(self):
+        return 0  # memory is not simulated
+
     def get_descriptor_limit(self):
         return self.process.descriptor_limit
--- a/tests/pressure.py
+++ b/tests/pressure.py
@@ -1,6 +1,6 @@
 """Clients that put a dispatcher under pressure, each kind in a process of its own, and what others see of it.
 
-    python tests/pressure.py KIND HOST PORT SECONDS  # plays one kind; prints what was sent as a line of JSON
+python tests/pressure.py KIND HOST PORT SECONDS  # plays one kind; prints what was sent as a line of JSON
 """
 
 import asyncio
--- a/tests/test_diagnostics.py
+++ b/tests/test_diagnostics.py
@@ -146,3 +146,17 @@
         assert "event=worker_changed worker=w0 was=ready now=draining" in logged
 
     run_on_sockets(scenario)
+
+
+def test_a_client_that_is_closed_and_the_use_of_resources_are_logged(run_simulated):
+    async def scenario(harness):
+        assert (await harness.exchange(b"GET / HTTP/1.0\r\nContent-Length: x\r\n\r\n"))[0] == 400
+        await asyncio.sleep(11)
+        lines = [line for line in harness.logged if "event=client_closed" in line]
+        assert len(lines) == 1 and "why=bad_request status=400" in lines[0] and " client=" in lines[0]
+        resources = [line for line in harness.logged if "event=resources" in line]
+        assert all(
+            f" {name}=" in resources[-1] for name in ("clients", "peak_memory_mb", "loop_late_ms", "ids")
+        )
+
+    run_simulated(scenario)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -296,6 +296,9 @@
     def abort(self):
         self.aborted = True
 
+    def get_write_buffer_size(self):
+        return 0
+
     def get_extra_info(self, name):
         return None
 
