--- a/heronwinch/net/diagnostics.py
+++ b/heronwinch/net/diagnostics.py
@@ -11,15 +11,16 @@
 log = structlog.get_logger()
 
 MAX_LINES_PER_SECOND = 20  # of each kind; the rest are only counted
+MAX_CLIENT_LINES_PER_SECOND = 4  # of each reason; one bad client alone can cause thousands
 # A wall clock that is steered runs at most 500 us a second off; a larger change is a step.
 MIN_CLOCK_STEP_NS = 50_000_000
 
 
 class LineLimiter:
-    """Limits log lines of each kind to so many in a second of the clock."""
+    """Limits log lines of each kind to `max_lines` in a second of the clock."""
 
-    def __init__(self, machine, counters):
-        self.machine, self.counters = machine, counters
+    def __init__(self, machine, counters, max_lines=MAX_LINES_PER_SECOND):
+        self.machine, self.counters, self.max_lines = machine, counters, max_lines
         self.second = 0
         self.counts = {}  # kind -> lines in the current second
 
@@ -29,7 +30,7 @@
         if second != self.second:
             self.second, self.counts = second, {}
         count = self.counts[kind] = self.counts.get(kind, 0) + 1
-        if count > MAX_LINES_PER_SECOND:
+        if count > self.max_lines:
             self.counters.count("lines_left_out")
             return False
         return True
@@ -119,7 +120,7 @@
     """Writes the log lines on clients whose connections the dispatcher closes or refuses."""
 
     def __init__(self, machine, counters):
-        self.limiter = LineLimiter(machine, counters)
+        self.limiter = LineLimiter(machine, counters, MAX_CLIENT_LINES_PER_SECOND)
 
     def log_closed(self, client, why, status=0, detail=""):
         """The dispatcher ends a client's connection. `why` is one word, `status` the HTTP status that the
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -127,6 +127,30 @@
 # ---- the stopping process, its successor played by the test
 
 
+# Guards against an id that runs at a process and once more at the one that replaces it.
+@pytest.mark.parametrize("old_is", ["serving", "stopped", "killed"])
+def test_an_id_that_has_run_at_one_process_does_not_run_at_the_other(run_handover, old_is):
+    async def scenario(harness, platform):
+        old, mgmt = await platform.start()
+        await platform.wait_until_ready(mgmt)
+        reader, writer = await asyncio.open_connection(*harness.address)
+        writer.write(encode_job("/charge/1", id="once"))
+        await reader.readuntil(b"HI")
+        writer.close()
+        new, mgmt = await platform.start()
+        await platform.wait_until_ready(mgmt)
+        if old_is == "serving":
+            old.send_signal(signal.SIGSTOP)  # so that the other one accepts
+        else:
+            old.send_signal(signal.SIGTERM if old_is == "stopped" else signal.SIGKILL)
+            await old.communicate()
+        status, _ = await harness.send_job("/charge/1", id="once")
+        assert (status, sum(len(worker.jobs) for worker in harness.workers)) == (409, 1)
+        assert (await harness.send_job("/charge/1", id="twice"))[0] == 200
+
+    run_handover(scenario)
+
+
 class Successor:
     """Plays the successor of the program in this process."""
 
--- /dev/null
+++ b/tests/test_pressure.py
@@ -0,0 +1,158 @@
+"""Clients that put a process under pressure: what one connection may cost and hold, and what others get
+meanwhile."""
+
+import asyncio
+import socket
+
+import h11
+import pressure
+import pytest
+from conftest import FAULT_EVENTS, encode_job
+from in_process import wait_until
+from limited_program import LimitedProgram
+
+SMALL_MEMORY_MB, LARGE_MEMORY_MB = 32, 192
+PRESSURE_SECONDS = 4.0
+DEADLINE_SECONDS = 5.0  # of the usual clients
+LATEST_ANSWER_SECONDS = DEADLINE_SECONDS + 0.5  # an answer that comes later counts as none
+MAX_PARSER_EVENTS_PER_TURN = 1000
+MAX_BYTES_IN_ONE_READ = 16 * 1024
+CROWD_SIZE = 50
+SMALL_CHUNKS = b"1\r\nx\r\n" * 20_000
+
+
+async def play_beside_usual_clients(kind, memory_mb, folder, mode):
+    """Plays one kind of pressure; returns the usual clients, the peak memory and the log."""
+    async with LimitedProgram(folder, memory_mb, mode=mode) as program:
+        await asyncio.sleep(1.1)  # the first epoch, in which no worker is open
+        usual = pressure.UsualClients(program.address, 20, 0.1, DEADLINE_SECONDS)
+        async with usual:
+            sent = await pressure.play(kind, program.address, PRESSURE_SECONDS)
+        peak_memory_mb = pressure.read_peak_memory_mb(program.process.pid)
+        status, logged = await program.stop()
+    print(kind, memory_mb, f"peak {peak_memory_mb:.1f} MB", usual.summarize(), sent)
+    assert status == 0 and not [word for word in FAULT_EVENTS if word in logged], logged
+    return usual, peak_memory_mb
+
+
+# Guards against clients that cost so much processor time that others get their answers late or never.
+@pytest.mark.parametrize("memory_mb", [SMALL_MEMORY_MB, LARGE_MEMORY_MB])
+@pytest.mark.parametrize("kind", ["unsound", "small_chunks", "crowd_of_chunks", "crowd_of_fields"])
+def test_usual_clients_are_answered_in_time_beside(kind, memory_mb, tmp_path):
+    usual, peak_memory_mb = asyncio.run(play_beside_usual_clients(kind, memory_mb, tmp_path, "done"))
+    assert peak_memory_mb <= memory_mb
+    assert [answer for answer in usual.answers if answer.seconds > LATEST_ANSWER_SECONDS] == []
+    assert [answer for answer in usual.answers if not answer.status] == []
+
+
+# Guards against a process that passes its memory limit under a crowd of large requests.
+@pytest.mark.parametrize("memory_mb", [SMALL_MEMORY_MB, LARGE_MEMORY_MB])
+@pytest.mark.parametrize("kind", ["half_bodies", "large_jobs_left", "unread_answers"])
+def test_memory_stays_within_its_limit_under(kind, memory_mb, tmp_path):
+    _, peak_memory_mb = asyncio.run(play_beside_usual_clients(kind, memory_mb, tmp_path, "silent"))
+    assert peak_memory_mb <= memory_mb
+
+
+# Guards against a loop turn that parses all that a crowd has sent, during which nobody else is served.
+def test_a_loop_turn_parses_a_bounded_amount(run_in_process, monkeypatch):
+    async def scenario(harness):
+        events_by_turn = [0]
+        next_event = h11.Connection.next_event
+
+        def count_event(connection):
+            events_by_turn[-1] += 1
+            return next_event(connection)
+
+        def begin_turn():
+            events_by_turn.append(0)
+            harness.engine.loop.call_soon(begin_turn)
+
+        monkeypatch.setattr(h11.Connection, "next_event", count_event)
+        begin_turn()
+        writers = []
+        for number in range(CROWD_SIZE):
+            _, writer = await harness.open_client_connection()
+            writers.append(writer)
+            head = encode_job(id=f"chunked{number}", body=b"").replace(
+                b"Content-Length: 0", b"Transfer-Encoding: chunked"
+            )
+            writer.write(head + SMALL_CHUNKS[:60_000])
+        await asyncio.sleep(1)
+        assert sum(events_by_turn) > MAX_PARSER_EVENTS_PER_TURN
+        assert max(events_by_turn) <= MAX_PARSER_EVENTS_PER_TURN
+        for writer in writers:
+            writer.close()
+
+    run_in_process(scenario)
+
+
+# Guards against a read that takes in whatever the kernel holds: the budget of memory doesn't know of it.
+def test_one_read_takes_in_a_bounded_amount(run_in_process):
+    async def scenario(harness):
+        with socket.create_connection(harness.address) as sock:
+            await wait_until(lambda: harness.program.listener.clients)
+            (client,) = harness.program.listener.clients
+            sizes, feed_data = [], client.reader.feed_data
+            client.reader.feed_data = lambda data: (sizes.append(len(data)), feed_data(data))
+            sock.sendall(encode_job("/render/1", body=b"x" * 60_000))
+            await wait_until(lambda: client.item is not None)
+            assert max(sizes) <= MAX_BYTES_IN_ONE_READ
+
+    run_in_process(scenario)
+
+
+# Guards against an id that is forgotten, and runs again, because many others have come since.
+@pytest.mark.parametrize("others", [0, 5_000, 50_000])
+def test_an_id_is_not_run_again_however_many_others_have_come(run_in_process, others):
+    async def scenario(harness):
+        request = await harness.serve_job()
+        for number in range(others):
+            id = b"other%d" % number
+            harness.engine.recent_ids.add(id)
+            harness.engine.recent_ids.release(id)
+        status, _ = await (await harness.send_job(id=request.id.decode()))
+        assert status == 409 and harness.worker.request_ids == [request.id]
+
+    run_in_process(scenario)
+
+
+# Guards against a hand-off that is sent although what its client has sent since is not examined yet.
+def test_nothing_is_handed_off_while_input_of_its_client_is_unexamined(run_in_process, monkeypatch):
+    async def scenario(harness):
+        await harness.serve_job("/render/1")
+        await wait_until(lambda: harness.program.workers.idle_connections)
+        reader, writer = await harness.open_client_connection()
+        accept_job = harness.engine.accept_job
+
+        def accept_and_pause(job, client, request_began_at):
+            client.writer.transport.pause_reading()  # as if the client's task had much else to read
+            writer.close()
+            return accept_job(job, client, request_began_at)
+
+        monkeypatch.setattr(harness.engine, "accept_job", accept_and_pause)
+        writer.write(harness.encode_job("/render/1"))
+        await wait_until(lambda: harness.engine.items)
+        for _ in range(100):
+            await asyncio.sleep(0.001)
+        assert len(harness.worker.request_ids) == 1
+        (client,) = harness.program.listener.clients
+        client.writer.transport.resume_reading()
+        await wait_until(lambda: not harness.engine.items)
+        assert len(harness.worker.request_ids) == 1
+
+    run_in_process(scenario)
+
+
+# Guards against the body of a large job that is kept, for as long as its worker hangs, once its client left.
+def test_the_body_of_a_job_is_dropped_when_its_client_leaves(run_in_process):
+    async def scenario(harness):
+        reader, writer = await harness.open_client_connection()
+        writer.write(harness.encode_job("/render/1", body=b"x" * 60_000))
+        await harness.worker.requests.get()
+        (item,) = harness.engine.items.values()
+        assert len(item.job.body) == 60_000
+        writer.close()
+        await wait_until(lambda: item.ended)
+        assert item.in_flight and not item.job.body
+
+    run_in_process(scenario, **{"limits.may_cancel": False})
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -199,6 +199,24 @@
     assert feed_all(protocol, REQUEST) == []
 
 
+# Guards against requests that cost much more processor time than others of their size.
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        pytest.param(build_request(*[b"a:"] * 200), 431, id="fields"),
+        pytest.param(b"GET / HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 3000, 431, id="half a head"),
+        pytest.param(
+            build_request(b"Transfer-Encoding: chunked", body=b"1\r\nx\r\n" * 20_000), 400, id="chunks"
+        ),
+        pytest.param(encode_job("/render/1?" + "a=1&" * 3000), 400, id="parameters"),
+        pytest.param(encode_job(Req_Extra="a=1," * 3000 + "b=1"), 400, id="figures"),
+    ],
+)
+def test_requests_of_very_many_small_parts_are_rejected(data, status):
+    events = feed_all(ClientProtocol(ADMISSION_RULES), data)
+    assert [event.status for event in events if type(event) is RejectedRequest] == [status]
+
+
 def test_an_id_used_elsewhere_before_the_body_arrives_is_rejected():
     ids_in_use = set()
     protocol = ClientProtocol(ADMISSION_RULES._replace(open_ids=ids_in_use))
