Clients: parsing is shared out by slices, cheap requests first; a read takes 16 KiB at most

Callers got answers after seconds or never beside a crowd. Cause: a client's task parsed all that had arrived without a pause, and a read took in all that the kernel held, so a loop turn lasted as long as the input of all connections.

--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -9,6 +9,7 @@
 from heronwinch.interface import SECOND
 from heronwinch.net import sockets
 from heronwinch.net.diagnostics import ClientLog
+from heronwinch.net.input_scheduler import PARSER_EVENTS_PER_SLICE, InputScheduler
 from heronwinch.protocol.clients import (
     AdmissionRules,
     ClientProtocol,
@@ -46,6 +47,8 @@
         self.request_began_at = self.connected_at = self.engine.machine.now()
         self.idle_since = 0  # clock time since which the connection is between two requests
         self.job_count = 0  # jobs that the client has handed in
+        self.is_parsing = False  # whether bytes were read that are not parsed yet
+        self.slices_taken = 0  # slices of the input scheduler for the current request
         self.read_timeout = None  # asyncio.Timeout of the read in progress
         self.ended = False  # whether the last answer is written
 
@@ -59,10 +62,32 @@
                 self.request_began_at = self.engine.machine.now() - self.engine.machine.get_input_age(
                     self.writer
                 )
-            self._handle_events(self.protocol.feed_data(data))
-            self._update_idle_state()
+            await self._parse(data)
         await self.linger()
 
+    async def _parse(self, data):
+        """Parses input and acts on it, in the slices that the input scheduler grants."""
+        self.is_parsing = True
+        try:
+            if self.protocol.has_unanswered_request:  # what comes before an answer is rejected unparsed
+                self._handle_events(self.protocol.feed_data(data))
+                return
+            await self._begin_slice()
+            self._handle_events(self.protocol.feed_data(data, PARSER_EVENTS_PER_SLICE))
+            while self.protocol.has_more_to_parse and not self.ended:
+                if self._get_read_timeout() == 0:
+                    self._reject_slow_request()
+                    return
+                await self._begin_slice()
+                self._handle_events(self.protocol.parse(PARSER_EVENTS_PER_SLICE))
+        finally:
+            self.is_parsing = False
+            self._update_idle_state()
+
+    async def _begin_slice(self):
+        await self.listener.input_scheduler.begin_slice(self.slices_taken, not self.job_count)
+        self.slices_taken += 1
+
     async def _read(self):
         """Returns the next bytes, b"" if the connection has ended or is to be closed. An answer that is owed
         does not stop the reading, as the end of the connection means that the client has left."""
@@ -71,8 +96,7 @@
         if self.ended:
             return b""
         if not self.protocol.is_idle:
-            self.listener.counters.count("request_too_slow")
-            self._reject(RejectedRequest(408, "the request did not come to its end"), "request_too_slow")
+            self._reject_slow_request()
             return b""
         with contextlib.suppress(TimeoutError):
             return await self._read_within(sockets.FINAL_READ_SECONDS)
@@ -146,6 +170,11 @@
             elif kind is RejectedRequest:
                 self._reject(event)
 
+    def _reject_slow_request(self):
+        """Answers a request that has not come to its end within MAX_REQUEST_SECONDS."""
+        self.listener.counters.count("request_too_slow")
+        self._reject(RejectedRequest(408, "the request did not come to its end"), "request_too_slow")
+
     def _reject(self, rejection, why="bad_request"):
         """Answers a bad request, which ends the connection and the work item that it may have."""
         self.listener.counters.count("bad_request")
@@ -157,6 +186,7 @@
 
     def _send_answer(self, status, body=b"", headers=(), close=False):
         """Writes an answer. A client that leaves too many bytes of answers unread is cut off."""
+        self.slices_taken = 0
         data, self.ended = self.protocol.encode_response(
             status, body, headers, close or not self.listener.keeps_alive
         )
@@ -179,13 +209,24 @@
         if not self.ended:
             self.writer.transport.pause_reading()
 
+    def is_receiving_request(self):
+        """Whether a request has arrived in part, as far as it is parsed."""
+        return not (self.ended or self.protocol.has_unanswered_request) and (
+            self.is_parsing or not self.protocol.is_idle
+        )
+
     def owes_answer(self):
         """Whether a request that was read, as far as is known, has no answer yet."""
-        return not self.ended and (self.protocol.has_unanswered_request or self.reader.unread > 0)
+        return not self.ended and (self.protocol.has_unanswered_request or self.has_unparsed_input)
+
+    @property
+    def has_unparsed_input(self):
+        """Whether the process has taken bytes from the kernel that are not parsed yet."""
+        return self.is_parsing or self.reader.unread > 0
 
     def has_unread_input(self):
         """Whether input of the client has arrived that is not read yet, which may be the connection's end."""
-        return not sockets.is_quiet(self.reader, self.writer, self.engine.machine)
+        return self.is_parsing or not sockets.is_quiet(self.reader, self.writer, self.engine.machine)
 
     # ---- answers, called by the engine
 
@@ -223,6 +264,7 @@
         self.budget = budget
         self.counters = counters
         self.log = ClientLog(engine.machine, counters)
+        self.input_scheduler = InputScheduler(engine.loop)
         self.client_count = 0  # connections accepted or resumed since the start
         self.clients = {}  # Client, until its descriptor is free -> its task
         # The groups from which connections are evicted to make room, in this order; in each of them the
@@ -298,7 +340,7 @@
             not client.ended
             and not client_protocol.is_broken
             and not client.writer.is_closing()
-            and not client.reader.unread
+            and not client.has_unparsed_input
             and not client.writer.transport.get_write_buffer_size()
             and (
                 client.item is not None
@@ -332,12 +374,15 @@
 
     def update_eviction_group(self, client):
         """Puts a client into the group from which it may be evicted, if any."""
+        is_new = not client.ended and not client.job_count
+        if is_new and client in self.new_clients:
+            return  # it keeps its place, by when it connected, however often it sends a piece of a request
         self._leave_eviction_groups(client)
         if client not in self.clients:
             return
         if client.ended:
             self.answered_clients[client] = None
-        elif not client.job_count:
+        elif is_new:
             self.new_clients[client] = None
         elif client.protocol.is_idle:
             (self.idle_after_one_job if client.job_count == 1 else self.idle_after_more_jobs)[client] = None
@@ -373,7 +418,7 @@
         must not cost the regular clients theirs."""
         for group in (self.answered_clients, self.new_clients, self.idle_after_one_job):
             # A client whose request has been read is not evicted, even if its task has not seen it yet.
-            client = next((client for client in group if client.ended or not client.reader.unread), None)
+            client = next((client for client in group if client.ended or not client.has_unparsed_input), None)
             if client is not None:
                 del group[client]
                 self._log_eviction(client)
@@ -415,15 +460,12 @@
 
     def is_receiving_request(self):
         """Whether a request has arrived in part."""
-        return any(
-            not (client.ended or client.protocol.has_unanswered_request or client.protocol.is_idle)
-            for client in self.clients
-        )
+        return any(client.is_receiving_request() for client in self.clients)
 
     def count_unread(self):
         """Returns the number of connections whose client has sent bytes that this process has taken from the
         kernel and not examined yet."""
-        return sum(client.reader.unread > 0 for client in self.clients)
+        return sum(client.has_unparsed_input for client in self.clients)
 
     def set_keep_alive(self, on):
         """Sets whether connections stay open after their next answers."""
--- a/heronwinch/net/sockets.py
+++ b/heronwinch/net/sockets.py
@@ -7,6 +7,7 @@
 # connections during a reload), and nine for operators' calls.
 RESERVED_DESCRIPTORS = 20
 READ_AHEAD_BYTES = 8 * 1024  # read from the socket in advance; a stream buffers at most twice as much
+MAX_READ_BYTES = 16 * 1024  # most that one read takes from the kernel
 LINGER_SECONDS = 0.5  # time that a closing connection has to send its output, and its peer to read it
 # Time limit of one more read after a read timed out: bytes that arrived just then, or while the process was
 # stalled, are not lost.
@@ -46,6 +47,11 @@
         super().__init__(limit=READ_AHEAD_BYTES, loop=loop)
         self.unread = 0  # bytes received and not read yet
 
+    def set_transport(self, transport):
+        """Limits what the transport, one of asyncio's selector loop, takes from the kernel in one read."""
+        transport.max_size = MAX_READ_BYTES
+        super().set_transport(transport)
+
     def feed_data(self, data):
         self.unread += len(data)
         super().feed_data(data)
--- a/heronwinch/protocol/clients.py
+++ b/heronwinch/protocol/clients.py
@@ -4,6 +4,7 @@
 rejected and nothing of it reaches the rest of the program."""
 
 import re
+import sys
 from collections.abc import Container
 from typing import NamedTuple
 from urllib.parse import parse_qs, quote
@@ -132,6 +133,7 @@
         # Line feeds received since the last answer; more than the lines of the head if a body came with it.
         self.line_count = 0
         self.has_unanswered_request = False  # whether a complete request was returned and not answered yet
+        self.has_more_to_parse = False  # whether parsing stopped before the end of what was received
         self.is_broken = False  # whether a request was rejected or the last response was encoded
 
     @property
@@ -149,18 +151,29 @@
         """Whether the client wants the connection closed after the response."""
         return self.h11.their_state is h11.MUST_CLOSE
 
-    def feed_data(self, data):
+    def feed_data(self, data, max_parser_events=sys.maxsize):
         """Returns the events that `data` completes, in order. A rejected request is an event, not an
-        exception; after it further data is ignored."""
+        exception; after it further data is ignored. Parsing stops after `max_parser_events`: then
+        `has_more_to_parse` is set, and `parse` goes on."""
         if self.is_broken:
             return []
         if self.has_unanswered_request:
             return [self._reject(400, "more before the answer")]
         self.h11.receive_data(data)
         self.line_count += data.count(b"\n")
+        return self.parse(max_parser_events)
+
+    def parse(self, max_parser_events=sys.maxsize):
+        """Goes on parsing what was received, as `feed_data` does."""
+        self.has_more_to_parse = False
         events = []
+        parser_event_count = 0
         try:
             while not self.has_unanswered_request:
+                if parser_event_count == max_parser_events:
+                    self.has_more_to_parse = True
+                    break
+                parser_event_count += 1
                 head = self._read_unparsed_head() if self.pending_request is None else b""
                 event = self.h11.next_event()
                 kind = type(event)
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -13,6 +13,7 @@
 
 SMALL_MEMORY_MB, LARGE_MEMORY_MB = 32, 192
 PRESSURE_SECONDS = 4.0
+USUAL_CLIENTS_ALONE_SECONDS = 0.5  # so that all have had an answer and keep their connections
 DEADLINE_SECONDS = 5.0  # of the usual clients
 LATEST_ANSWER_SECONDS = DEADLINE_SECONDS + 0.5  # an answer that comes later counts as none
 MAX_PARSER_EVENTS_PER_TURN = 1000
@@ -27,6 +28,7 @@
         await asyncio.sleep(1.1)  # the first epoch, in which no worker is open
         usual = pressure.UsualClients(program.address, 20, 0.1, DEADLINE_SECONDS)
         async with usual:
+            await asyncio.sleep(USUAL_CLIENTS_ALONE_SECONDS)
             sent = await pressure.play(kind, program.address, PRESSURE_SECONDS)
         peak_memory_mb = pressure.read_peak_memory_mb(program.process.pid)
         status, logged = await program.stop()
