Engine: the body of a job is dropped when its client leaves, also while a hand-off goes on

A client that hands in a large job and leaves cost 64 KiB until the hand-off ended, 25 s with workers that hang, and could come again at once. The hand-off is sent by then and nothing is handed off again for a work item that has ended.

--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -462,6 +462,7 @@
         closed its connection."""
         item.ended = True
         item.expiry_timer.cancel()
+        item.job = item.job._replace(body=b"")  # its last hand-off may go on for as long as the worker hangs
         client, item.client = item.client, None
         self.key_numbers.release(item.job.key)
         if answer != interface.Outcome.OK:
