Rehearsal: the planted fault that ignores clients who left also switches off the check before a hand-off

Its docstring says that nothing checks for a client's end before a hand-off; since the hand-off waits for all input of its client that check alone kept the rule, and the test that wants the broken rule found did not find it. Test and check are as they were.

--- a/heronwinch/rehearsal/faults.py
+++ b/heronwinch/rehearsal/faults.py
@@ -127,13 +127,21 @@
     return _replaced_method(workers.Workers, "start_hand_off", make_replacement)
 
 
+@contextlib.contextmanager
 def ignore_leaving_clients():
     """Ignores that a client has left: the module isn't told, and nothing checks for it before a hand-off."""
 
-    def make_replacement(original):
+    def make_deaf(original):
         return lambda self, item: None
 
-    return _replaced_method(engine.Engine, "handle_client_left", make_replacement)
+    def make_blind(original):
+        return lambda self: False
+
+    with (
+        _replaced_method(engine.Engine, "handle_client_left", make_deaf),
+        _replaced_method(listener.Client, "has_unread_input", make_blind),
+    ):
+        yield
 
 
 def return_wrong_result():
