An id that has been taken on does not run again: a table that drops none, shared by both processes

Callers that came again with the id of a request could have it run twice. Causes: at most 4,096 ids of ended work were kept, so some thousand requests of other clients made an earlier id unknown; and a process that replaces another knew none of its ids. The successor used to refuse offers of ids it knew; it now refuses ids it holds.

--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -7,15 +7,13 @@
 
 from heronwinch import interface
 from heronwinch.net.diagnostics import AnswerLog
-from heronwinch.net.identifiers import NumberPool, RecentIds
+from heronwinch.net.identifiers import NumberPool
 from heronwinch.protocol.clients import AdmissionRules, encode_path_segment
 from heronwinch.protocol.handover import RepeatRules
 
 log = structlog.get_logger()
 
 ANSWER_MARGIN_NS = 2_000_000  # answers are sent this long before the client's time is up
-# Ids of ended work items are kept for at most this long (nanoseconds), and at most so many.
-RECENT_ID_LIMITS = 10 * interface.SECOND, 4096
 OVERDUE_SECONDS = 0.02  # a work item that the module left unanswered is answered this long after its expiry
 
 
@@ -64,7 +62,7 @@
     (`start_hand_off`, `cancel_hand_off`, `start_probe`, `close_idle_connections`, `make_listed_event`) and
     discovery (`subscribe`, `fetch`)."""
 
-    def __init__(self, make_module, terms, names, seed, machine, counters):
+    def __init__(self, make_module, terms, names, seed, machine, counters, recent_ids=None):
         self.make_module = make_module
         self.terms, self.names = terms, names
         self.random = Random(seed)
@@ -74,7 +72,7 @@
         self.loop = asyncio.get_running_loop()
         self.category_numbers = {encode_path_segment(name): i for i, name in enumerate(names.categories)}
         self.key_numbers = NumberPool()
-        self.recent_ids = RecentIds(machine, *RECENT_ID_LIMITS)
+        self.recent_ids = machine.make_private_ids() if recent_ids is None else recent_ids
         self.items = {}  # number -> WorkItem
         self.accepted_count = 0
         self.events = []  # events for the next call of the policy module
@@ -187,7 +185,6 @@
         """Turns a client's job into a work item and returns it."""
         category_number = self.category_numbers[job.category]
         category_terms = self.terms.categories[category_number]
-        self.recent_ids.add(job.id)
         # The client counts its time from when it sent the request, so the time left counts from the first
         # byte that arrived here, not from the last.
         time_left = max(
@@ -206,6 +203,7 @@
 
     def _add_item(self, job, client, category_terms, accepted_at, initial_time_left):
         """Adds a work item with its expiry timer. A planned stop shortens its expiry."""
+        self.recent_ids.add(job.id, initial_time_left)
         self.accepted_count += 1
         item = self.items[self.accepted_count] = WorkItem(
             self.accepted_count, job, client, category_terms.effect, accepted_at, initial_time_left
@@ -249,7 +247,6 @@
         job, now = client_state.job, self.machine.now()
         category_number = self.category_numbers[job.category]
         category_terms = self.terms.categories[category_number]
-        self.recent_ids.add(job.id)
         item = self._add_item(job, client, category_terms, now - client_state.age, client_state.given)
         if (listed := self.workers.add_unlisted_workers(client_state.hosts)) is not None:
             self.post(listed)
--- a/heronwinch/net/handover.py
+++ b/heronwinch/net/handover.py
@@ -151,7 +151,7 @@
         """Whether this process can continue a client's work item by its own settings."""
         job = client_state.job
         return job is None or (
-            job.id not in self.engine.recent_ids and self.engine.can_resume_item(client_state)
+            job.id not in self.engine.recent_ids.held and self.engine.can_resume_item(client_state)
         )
 
     def _tell_verdict(self, peer, verdict):
--- a/heronwinch/net/identifiers.py
+++ b/heronwinch/net/identifiers.py
@@ -1,6 +1,4 @@
-"""Small numbers for names that come from outside, and the recently used ids of work items."""
-
-from collections import deque
+"""Small numbers for names that come from outside."""
 
 
 class NumberPool:
@@ -32,30 +30,3 @@
             if not entry[1]:
                 del self.entries[name]
                 self.free.append(entry[0])
-
-
-class RecentIds:
-    """The ids of work items that are held, or were until a while ago. An id is new with every request, so one
-    that comes again belongs to another request, and a worker that gets both can't tell them apart."""
-
-    def __init__(self, clock, max_age, max_released):
-        self.clock, self.max_age, self.max_released = clock, max_age, max_released
-        self.ids = set()
-        self.released = deque()  # (clock time of the release, id)
-
-    def __contains__(self, id):
-        return id in self.ids
-
-    def __len__(self):
-        return len(self.ids)
-
-    def add(self, id):
-        """Adds the id of a work item that is held from now on."""
-        self.ids.add(id)
-
-    def release(self, id):
-        """Starts the time after which the id of a work item that has ended is forgotten."""
-        now = self.clock.now()
-        self.released.append((now, id))
-        while self.released[0][0] < now - self.max_age or len(self.released) > self.max_released:
-            self.ids.discard(self.released.popleft()[1])
--- a/heronwinch/net/ledger.py
+++ b/heronwinch/net/ledger.py
@@ -151,7 +151,6 @@
             self._handle_disk_failure(error)
             self._start_writing()
         for id in list(self.state.items_by_id):  # a request that reuses an id is a different one
-            self.engine.recent_ids.add(id)
             self.engine.recent_ids.release(id)
 
     def _get_fleet_name(self):
--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -160,8 +160,7 @@
             if kind is ContinueResponse:
                 self.writer.write(event.data)
             elif kind is Job:
-                self.job_count += 1
-                self.item = self.engine.accept_job(event, self, self.request_began_at)
+                self._accept_job(event)
             elif kind is ReadinessRequest:
                 self._send_answer(200 if self.listener.is_ready else 503)
             elif kind is UnknownCategory:
@@ -170,6 +169,15 @@
             elif kind is RejectedRequest:
                 self._reject(event)
 
+    def _accept_job(self, job):
+        """Hands a job to the engine. It is deferred if its id can't be remembered, as it might run twice."""
+        self.job_count += 1
+        if self.engine.recent_ids.has_room(job.id):
+            self.item = self.engine.accept_job(job, self, self.request_began_at)
+        else:
+            self.listener.counters.count("no_room_for_id")
+            self.defer(0)
+
     def _reject_slow_request(self):
         """Answers a request that has not come to its end within MAX_REQUEST_SECONDS."""
         self.listener.counters.count("request_too_slow")
--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -12,6 +12,7 @@
 import time
 
 from heronwinch.net.presence import Presence
+from heronwinch.net.recent_ids import make_private_ids, open_shared_ids
 
 RECEIVE_BUFFER_BYTES = 32 * 1024  # SO_RCVBUF of a client's connection; the kernel allocates twice that
 
@@ -132,6 +133,14 @@
         """Returns a Presence, which tells whether other processes serve the same socket."""
         return Presence(sock, self.get_shared_folder())
 
+    def make_private_ids(self):
+        """Returns RecentIds of this process alone."""
+        return make_private_ids(self.read_monotonic_clock)
+
+    def open_shared_ids(self, sock):
+        """Returns RecentIds shared with the other processes that serve the same socket. Raises OSError."""
+        return open_shared_ids(self.read_monotonic_clock, sock, self.get_shared_folder())
+
     def read_peak_memory_mb(self):
         """Returns the largest amount of memory that the process has had in use so far, in MiB."""
         return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
--- a/heronwinch/net/sockets.py
+++ b/heronwinch/net/sockets.py
@@ -4,8 +4,8 @@
 import contextlib
 
 # Descriptors for the standard streams, the event loop itself, the listening socket, discovery (two
-# connections during a reload), and nine for operators' calls.
-RESERVED_DESCRIPTORS = 20
+# connections during a reload), the shared table of ids (two), and nine for operators' calls.
+RESERVED_DESCRIPTORS = 22
 READ_AHEAD_BYTES = 8 * 1024  # read from the socket in advance; a stream buffers at most twice as much
 MAX_READ_BYTES = 16 * 1024  # most that one read takes from the kernel
 LINGER_SECONDS = 0.5  # time that a closing connection has to send its output, and its peer to read it
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -84,6 +84,7 @@
             config.seed,
             machine,
             self.counters,
+            self._open_shared_ids(),
         )
         self.workers = Workers(
             self.engine, config.names, config.terms, budget.workers, machine, self.counters
@@ -128,6 +129,17 @@
         self.close_idle_timer = None  # set from the call `evacuate` to the call `activate`
         self.stop_event = asyncio.Event()
 
+    def _open_shared_ids(self):
+        """Returns the RecentIds shared with other processes at the socket, None if there are none to be."""
+        if self.sock is None:
+            return None
+        try:
+            return self.machine.open_shared_ids(self.sock)
+        except OSError as error:
+            self.counters.count("ids_unshared")
+            log.warning("ids_unshared", why=str(error))
+            return None
+
     def _has_other_process(self):
         """Whether another process serves on the same socket; None if that cannot be told."""
         return self.presence.has_other_processes() if self.presence is not None else False
--- a/heronwinch/rehearsal/simulation/process.py
+++ b/heronwinch/rehearsal/simulation/process.py
@@ -10,6 +10,7 @@
 from collections import deque
 
 from heronwinch.interface import SECOND
+from heronwinch.net.recent_ids import make_private_ids
 from heronwinch.rehearsal.simulation.files import Files
 from heronwinch.rehearsal.simulation.guard import UnseededSourceError
 from heronwinch.rehearsal.simulation.kernel import RUN_START_UNIX_NS
@@ -264,6 +265,9 @@
     def create_listening_socket(self, host, port):
         return self.process.network.create_listener(self.process, host, port)
 
+    def make_private_ids(self):
+        return make_private_ids(lambda: self.process.kernel.now)
+
     def read_peak_memory_mb(self):
         return 0  # memory is not simulated
 
