--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -340,6 +340,10 @@
     def _answer_overdue(self, item):
         """Answers a work item that the module has not answered by its expiry. Rule 1, no client is left
         without an answer, holds whatever the module does."""
+        # After a late loop turn the timer by which the module answers comes due in the same turn as this one.
+        self.handle_pending_events()
+        if item.ended:
+            return
         self.counters.count("overdue")
         self._answer_without_module(item)
         self.items_to_drop.append(item)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,6 +1,7 @@
 """The drivers of net/ without sockets: the engine with test doubles for the module, workers and clients."""
 
 import asyncio
+import time
 from random import Random
 
 import pytest
@@ -252,6 +253,26 @@
     run_engine(scene, {interface.Arrived: return_hand_off}, effect)
 
 
+# Guards against work that is held to be overdue, and answered past the module, as the event loop was late.
+def test_after_a_late_loop_turn_the_module_answers_before_work_is_overdue(run_engine):
+    async def scene(engine, modules):
+        client = CallRecorder()
+        engine.accept_job(JOB._replace(time_left=10 * MS), client, engine.machine.now())
+        await run_loop_turns()
+        time.sleep(0.1)  # both timers come due in the next turn
+        while not client.calls:
+            await asyncio.sleep(0)
+        assert client.calls == [("defer", 7)] and not engine.counters.counts["overdue"]
+
+    run_engine(
+        scene,
+        {
+            interface.Arrived: lambda e: [interface.SetTimer(5 * MS, e.wi)],
+            interface.Rang: lambda e: [interface.Defer(e.token, 7)],
+        },
+    )
+
+
 def test_planned_stop_is_posted_and_bounds_hand_offs(run_engine):
     async def scene(engine, modules):
         engine.stop(0.2)
