--- a/heronwinch/net/fleet.py
+++ b/heronwinch/net/fleet.py
@@ -22,12 +22,13 @@
     MemberRecord,
 )
 from heronwinch.fleet.view import MembershipView
-from heronwinch.net.sockets import READ_AHEAD_BYTES
+from heronwinch.net import sockets
 
 log = structlog.get_logger()
 
 # Counted in program.FLEET_DESCRIPTORS, with the two listening sockets and streams just accepted.
 MAX_STREAMS_PER_DIRECTION = 6
+ACCEPTS_PER_LOOP_TURN = 2
 EXCHANGE_TIMEOUT_SECONDS = 2.0  # time limit of one exchange of full views
 MAX_SEND_BUFFER_BYTES = 64 * 1024  # when it is full, datagrams are dropped, as a network may drop them
 RATE_INTERVAL_SECONDS = 1.0  # interval of updates of the own work rate and share
@@ -113,9 +114,7 @@
         )
         try:
             sock = self.machine.create_listening_socket(host, port)
-            self.server = await asyncio.start_server(
-                self._accept_exchange, sock=sock, limit=READ_AHEAD_BYTES, backlog=2
-            )
+            self.server = await sockets.serve(self._accept_exchange, sock, ACCEPTS_PER_LOOP_TURN)
             sock.listen(64)
         except BaseException:
             transport.close()
@@ -302,8 +301,8 @@
         self.open_streams["out"] += 1
         try:
             async with asyncio.timeout(EXCHANGE_TIMEOUT_SECONDS):
-                reader, writer = await asyncio.open_connection(
-                    *_parse_address(host), limit=READ_AHEAD_BYTES, local_addr=(self.settings.listen[0], 0)
+                reader, writer = await sockets.connect(
+                    *_parse_address(host), local_addr=(self.settings.listen[0], 0)
                 )
                 try:
                     await _write_frame(writer, self.view.encode_full_view(self.machine.now()))
--- a/heronwinch/net/handover.py
+++ b/heronwinch/net/handover.py
@@ -112,8 +112,11 @@
         self.engine.loop.add_reader(peer, self._read_messages, peer)
 
     def _read_messages(self, peer):
-        """Reads the messages that have arrived, up to a number for each event loop turn."""
+        """Reads the messages that have arrived, up to a number and to so many bytes in an event loop turn."""
+        byte_count = 0
         for _ in range(MESSAGES_PER_LOOP_TURN):
+            if byte_count >= MAX_MESSAGE_BYTES:
+                return
             try:
                 data, descriptors, _, _ = socket.recv_fds(peer, MAX_MESSAGE_BYTES, 2, socket.MSG_CMSG_CLOEXEC)
             except BlockingIOError:
@@ -125,6 +128,7 @@
                 peer.close()
                 log.info("taken_over", connections=self.received_count)
                 return
+            byte_count += len(data)
             passed_sockets = [socket.socket(fileno=number) for number in descriptors]
             task = asyncio.create_task(self._handle_offer(peer, data, passed_sockets))
             self.tasks.add(task)
--- a/heronwinch/net/input_scheduler.py
+++ b/heronwinch/net/input_scheduler.py
@@ -5,7 +5,7 @@
 
 # Slices of all connections in one event loop turn. What else a turn does, hand-offs and answers above all,
 # waits for no more than these.
-SLICES_PER_TURN = 16
+SLICES_PER_TURN = 4
 # Parser events in one slice: the head of a request, a part of its body, its end. A usual request takes three.
 PARSER_EVENTS_PER_SLICE = 16
 
--- a/heronwinch/net/sockets.py
+++ b/heronwinch/net/sockets.py
@@ -19,6 +19,7 @@
 CONNECTION_BYTES = 32 * 1024
 SMALL_MESSAGE_BYTES = 4 * 1024
 LARGE_BUFFER_BYTES = 160 * 1024  # memory of a long request or answer with its copies
+MAX_ACCEPTS_PER_TURN = 8  # what else an event loop turn does waits for these
 MIN_LARGE_BUFFERS = 4  # of each kind, even if memory is scarcer
 MIN_CONNECTIONS = 64  # allowed even if memory is scarcer
 CONNECTIONS_SHARE = 0.75  # part of the memory for connections; the rest is for further large buffers
@@ -38,7 +39,7 @@
         )
         third = max_descriptors // 3
         # Connections accepted per event loop turn; those of three turns may not be counted yet.
-        self.accepts_per_turn = max(1, third // 16)
+        self.accepts_per_turn = max(1, min(MAX_ACCEPTS_PER_TURN, third // 16))
         self.refusals = max(1, third // 16)
         self.clients = max(1, third - 3 * self.accepts_per_turn - self.refusals)
         self.workers = max(1, max_descriptors - third - RESERVED_DESCRIPTORS)
