--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -10,6 +10,7 @@
 from conftest import FAULT_EVENTS, encode_job
 from in_process import wait_until
 from limited_program import LimitedProgram
+from pressure_soak import Soak
 
 SMALL_MEMORY_MB, LARGE_MEMORY_MB = 32, 192
 PRESSURE_SECONDS = 4.0
@@ -56,6 +57,13 @@
     assert peak_memory_mb <= memory_mb
 
 
+# Guards against what kinds of clients do together, beside signals and workers that fail; 50 seeds and more
+# are played by hand.
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_a_seed_of_the_soak_holds(seed):
+    assert asyncio.run(Soak(seed).run()) == []
+
+
 # Guards against a loop turn that parses all that a crowd has sent, during which nobody else is served.
 def test_a_loop_turn_parses_a_bounded_amount(run_in_process, monkeypatch):
     async def scenario(harness):
