Stop: long requests that wait for memory are refused when the listener closes; the account is measured

A long request that is read in part and waits for a large buffer counts as owed an answer, and a stop would have ended before it got one.

--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -90,13 +90,15 @@
 
     async def _reserve_memory(self, byte_count):
         """Returns whether there is memory for so many more bytes of a request. A long request waits for a
-        large buffer; without one in the time that a request may take it is refused."""
+        large buffer; without one in the time that a request may take, or at the end of a stop, it is
+        refused."""
         is_small = self.protocol.received_bytes + byte_count <= sockets.SMALL_MESSAGE_BYTES
         if is_small or self.holds_large_buffer:
             return True
         self.listener.waiting_clients[self] = None
         try:
-            async with asyncio.timeout(self._get_read_timeout()) as self.read_timeout:
+            seconds = 0 if self.listener.is_closed else self._get_read_timeout()
+            async with asyncio.timeout(seconds) as self.read_timeout:
                 await self.listener.large_requests.acquire()
         except TimeoutError:
             self.listener.counters.count("no_memory_for_request")
@@ -329,6 +331,7 @@
         self.refusal_tasks = set()  # tasks that refuse connections for which there is no room
         self.is_ready = True  # the answer to readiness requests
         self.keeps_alive = True  # whether connections stay open after an answer
+        self.is_closed = False
         self.server = None
         self.sock = None
 
@@ -545,8 +548,11 @@
             client.set_read_timeout(0)
 
     def close(self):
-        """Stops listening."""
+        """Stops listening. Requests that wait for memory are refused, as no time is left for them."""
+        self.is_closed = True
         self.server.close()
+        for client in self.waiting_clients:
+            client.set_read_timeout(0)
 
     async def finish(self, seconds):
         """Ends all connections. From now on nothing more is read, so that what arrives is still unread when
--- a/tests/pressure.py
+++ b/tests/pressure.py
@@ -377,15 +377,25 @@
         return f"answers {statuses}, resent {self.resent_count}, seconds {times}"
 
 
-def read_peak_memory_mb(pid):
-    """Returns the peak of the memory that a process has had in use, in MiB; 0 once it has ended."""
+def _read_memory_kib(pid, field):
+    """Returns a figure of a process's memory, in KiB; 0 once it has ended."""
     try:
         status = pathlib.Path(f"/proc/{pid}/status").read_text()
-        return int(status.partition("VmHWM:")[2].split()[0]) / 1024
+        return int(status.partition(field + ":")[2].split()[0])
     except (OSError, IndexError):
         return 0
 
 
+def read_memory_bytes(pid):
+    """Returns the memory that a process has in use, in bytes."""
+    return 1024 * _read_memory_kib(pid, "VmRSS")
+
+
+def read_peak_memory_mb(pid):
+    """Returns the peak of the memory that a process has had in use, in MiB."""
+    return _read_memory_kib(pid, "VmHWM") / 1024
+
+
 async def play(kind, address, seconds):
     """Plays one kind of pressure in a process of its own; returns what it sent."""
     process = await asyncio.create_subprocess_exec(
--- a/tests/test_large_buffers.py
+++ b/tests/test_large_buffers.py
@@ -3,9 +3,10 @@
 import asyncio
 
 import pytest
-from conftest import encode_job
+from conftest import encode_job, split_answer
 from in_process import encode_done_response, wait_until
 
+from heronwinch.net import listener as listener_module
 from heronwinch.net.large_buffers import LargeBuffers
 from heronwinch.protocol.http_client import MAX_BODY_BYTES
 
@@ -105,6 +106,27 @@
     run_in_process(scenario)
 
 
+# Guards against a long request that was read in part, waits for memory, and is not answered at a stop.
+@pytest.mark.parametrize("comes", ["before", "after"])
+def test_a_long_request_that_waits_at_the_end_of_a_stop_is_refused(run_in_process, monkeypatch, comes):
+    async def scenario(harness):
+        listener = harness.program.listener
+        monkeypatch.setattr(listener_module, "MAX_REQUEST_SECONDS", 60.0)  # longer than this test may take
+        listener.large_requests.set_limit(0)
+        reader, writer = await harness.open_client_connection()
+        await wait_until(lambda: listener.clients)
+        if comes == "after":
+            listener.close()
+        writer.write(harness.encode_job("/render/1", body=LONG_BODY))
+        if comes == "before":
+            await wait_until(lambda: listener.waiting_clients)
+            listener.close()
+        assert split_answer(await reader.read())[0] == 503
+        writer.close()
+
+    run_in_process(scenario)
+
+
 # Guards against workers' long lines that are held beyond what the memory has room for.
 def test_a_long_answer_waits_for_memory(run_in_process):
     async def scenario(harness):
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -12,6 +12,8 @@
 from limited_program import LimitedProgram
 from pressure_soak import Soak
 
+from heronwinch.net.sockets import CONNECTION_BYTES, LARGE_BUFFER_BYTES
+
 SMALL_MEMORY_MB, LARGE_MEMORY_MB = 32, 192
 PRESSURE_SECONDS = 4.0
 USUAL_CLIENTS_ALONE_SECONDS = 0.5  # so that all have had an answer and keep their connections
@@ -20,6 +22,7 @@
 MAX_PARSER_EVENTS_PER_TURN = 1000
 MAX_BYTES_IN_ONE_READ = 16 * 1024
 CROWD_SIZE = 50
+CONNECTIONS_MEASURED = 200
 SMALL_CHUNKS = b"1\r\nx\r\n" * 20_000
 
 
@@ -57,6 +60,38 @@
     assert peak_memory_mb <= memory_mb
 
 
+# Guards against connections that hold more than the account of memory says.
+@pytest.mark.parametrize(
+    "data, connections, large_buffers",
+    [
+        pytest.param(b"", 1, 0, id="nothing"),
+        pytest.param(pressure.encode_head(extra=b"X: " + b"x" * 3900)[:-2], 1, 0, id="half a head"),
+        pytest.param(pressure.encode_head(extra=b"X: " + b"x" * 15_000)[:-2], 1, 1, id="half a long head"),
+        pytest.param(pressure.encode_head(length=65_536) + b"x" * 65_000, 1, 1, id="half a body"),
+        pytest.param(pressure.encode_head(id="NUMBER", length=2) + b"hi", 2, 0, id="a job"),
+        pytest.param(pressure.encode_head(id="NUMBER", length=65_536) + b"x" * 65_536, 2, 1, id="a long job"),
+    ],
+)
+def test_a_connection_holds_no_more_than_its_part_of_the_account(data, connections, large_buffers, tmp_path):
+    async def main():
+        async with LimitedProgram(tmp_path, LARGE_MEMORY_MB, mode="silent") as program:
+            await asyncio.sleep(1.1)  # the first epoch, in which no worker is open
+            before = pressure.read_memory_bytes(program.process.pid)
+            writers = []
+            for number in range(CONNECTIONS_MEASURED):
+                _, writer = await asyncio.open_connection(*program.address)
+                writer.write(data.replace(b"NUMBER", b"%d" % number))
+                writers.append(writer)
+            await asyncio.sleep(0.7)  # less than a request may take to come
+            held = (pressure.read_memory_bytes(program.process.pid) - before) / CONNECTIONS_MEASURED
+            for writer in writers:
+                writer.close()
+        print(f"{held / 1024:.1f} KiB for each client")
+        return held
+
+    assert asyncio.run(main()) <= connections * CONNECTION_BYTES + large_buffers * LARGE_BUFFER_BYTES
+
+
 # Guards against what kinds of clients do together, beside signals and workers that fail; 50 seeds and more
 # are played by hand.
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
