--- a/heronwinch/rehearsal/faults.py
+++ b/heronwinch/rehearsal/faults.py
@@ -7,7 +7,7 @@
 import contextlib
 
 from heronwinch import interface, policy
-from heronwinch.net import engine, listener, workers
+from heronwinch.net import client, engine, workers
 from heronwinch.slow_start import Allowance
 
 
@@ -78,7 +78,7 @@
 
         return send_answer
 
-    return _replaced_method(listener.Client, "_send_answer", make_replacement)
+    return _replaced_method(client.Client, "_send_answer", make_replacement)
 
 
 def use_draining_workers():
@@ -139,7 +139,7 @@
 
     with (
         _replaced_method(engine.Engine, "handle_client_left", make_deaf),
-        _replaced_method(listener.Client, "has_unread_input", make_blind),
+        _replaced_method(client.Client, "has_unread_input", make_blind),
     ):
         yield
 
@@ -150,7 +150,7 @@
     def make_replacement(original):
         return lambda self, result: original(self, b"somebody else's")
 
-    return _replaced_method(listener.Client, "finish", make_replacement)
+    return _replaced_method(client.Client, "finish", make_replacement)
 
 
 def sample_all_workers():
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -258,6 +258,9 @@
                 "RELAY_DISCOVERY": self.discovery.dial,
             },
         )
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self):
         async with asyncio.timeout(20):
             while (await self.send_get("/-/ready"))[0] != 200:
                 await asyncio.sleep(0.02)
--- a/tests/limited_program.py
+++ b/tests/limited_program.py
@@ -32,9 +32,7 @@
             self.process = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-O", "-m", "heronwinch"), cwd=ROOT, stderr=log_file, env=environment
             )
-        async with asyncio.timeout(20):
-            while (await self.send_get("/-/ready"))[0] != 200:
-                await asyncio.sleep(0.02)
+        await self.wait_until_ready()
 
     async def stop(self):
         if self.process.returncode is None:
--- a/tests/test_large_buffers.py
+++ b/tests/test_large_buffers.py
@@ -6,7 +6,7 @@
 from conftest import encode_job, split_answer
 from in_process import encode_done_response, wait_until
 
-from heronwinch.net import listener as listener_module
+from heronwinch.net import client as client_module
 from heronwinch.net.large_buffers import LargeBuffers
 from heronwinch.protocol.http_client import MAX_BODY_BYTES
 
@@ -111,7 +111,7 @@
 def test_a_long_request_that_waits_at_the_end_of_a_stop_is_refused(run_in_process, monkeypatch, comes):
     async def scenario(harness):
         listener = harness.program.listener
-        monkeypatch.setattr(listener_module, "MAX_REQUEST_SECONDS", 60.0)  # longer than this test may take
+        monkeypatch.setattr(client_module, "MAX_REQUEST_SECONDS", 60.0)  # longer than this test may take
         listener.large_requests.set_limit(0)
         reader, writer = await harness.open_client_connection()
         await wait_until(lambda: listener.clients)
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -31,8 +31,8 @@
 from heronwinch import program as program_module
 from heronwinch.interface import Outcome
 from heronwinch.net import discovery, sockets
+from heronwinch.net.client import Client
 from heronwinch.net.counters import FaultCounters
-from heronwinch.net.listener import Client
 from heronwinch.net.machine import Machine
 from heronwinch.plan import ConfigError, read_config
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,10 +11,11 @@
 from heronwinch import interface
 from heronwinch.interface import Effect, Outcome
 from heronwinch.net import discovery
+from heronwinch.net.client import MAX_IDLE_SECONDS, MAX_REQUEST_SECONDS, Client
 from heronwinch.net.counters import FaultCounters
 from heronwinch.net.engine import Engine, WorkItem
 from heronwinch.net.identifiers import NumberPool
-from heronwinch.net.listener import MAX_IDLE_SECONDS, MAX_REQUEST_SECONDS, MIN_IDLE_SECONDS, Client, Listener
+from heronwinch.net.listener import MIN_IDLE_SECONDS, Listener
 from heronwinch.net.machine import Machine
 from heronwinch.net.sockets import (
     BASE_MEMORY_MB,
