Tests: harnesses take addresses that can't meet those of toy workers, or each other

Two tests in virtual time failed once each in 13 runs (the scenario did not come to its end). Cause: a port that was free on the machine was used on the simulated network, where a toy worker had it already; forced with ports 32768 to 32770 and with one address taken twice (6 of 200,000 pairs). Simulated programs now listen on fixed ports below the range; real ones get two addresses held at once.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -35,6 +35,8 @@
 pytest_plugins = ["in_process"]  # the fixture run_in_process
 
 MS = 1_000_000
+# Below the ports that the simulated network allocates; a free port of this machine may be one of them.
+SIMULATED_ADDRESSES = ("127.0.0.1", 7070), ("127.0.0.1", 7071)
 ROOT = pathlib.Path(__file__).parent.parent
 # A test fails if the program logs one of these.
 FAULT_EVENTS = (
@@ -216,10 +218,14 @@
     async def __aenter__(self):
         for server in [*self.workers, self.discovery]:
             await server.start()
-        self.address, self.mgmt = find_free_address(), find_free_address()
+        self.address, self.mgmt = self.choose_addresses()
         await self.start()
         return self
 
+    def choose_addresses(self):
+        """Returns two different addresses, for clients and for operators."""
+        return find_free_addresses(2)
+
     def build_config(self, changes):
         """Builds the example configuration with this harness's addresses and settings, then `changes`."""
         tree = json.loads((ROOT / "examples" / "config.json").read_text())
@@ -387,6 +393,9 @@
         self.files = Files()
         self.logged = []
 
+    def choose_addresses(self):
+        return SIMULATED_ADDRESSES
+
     def write_config(self, **changes):
         path = SimulatedConfigPath(self.files)
         path.write_text(json.dumps(self.build_config(changes)))
@@ -444,9 +453,17 @@
 
 
 def find_free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()
+    (address,) = find_free_addresses(1)
+    return address
+
+
+def find_free_addresses(count):
+    """Finds so many different addresses that nobody uses."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [probe.getsockname() for probe in probes]
 
 
 @contextlib.contextmanager
