Clients: a long request waits 0.25 s for memory, on a kept connection too, then it is refused

The wait went by the time limit of the next read, which is 75 s on a kept connection between two requests: with all large buffers in use such a request got no answer by its deadline. The deadline is in the head, which is not parsed yet, so the wait is short for all. The new test failed before (no answer 0.5 s after a deadline of 0.3 s). Tests that play the wait set it longer, as they did with the limit before.

--- a/heronwinch/net/client.py
+++ b/heronwinch/net/client.py
@@ -20,6 +20,8 @@
 MAX_IDLE_SECONDS = 75.0  # limit for the connection of a client that has handed in a job
 # Limit for the arrival of a request. The time of the first one counts from the connection's start.
 MAX_REQUEST_SECONDS = 1.5
+# Limit of a long request's wait for memory: its deadline may be short, and is not known before it is parsed.
+MAX_MEMORY_WAIT_SECONDS = 0.25
 MAX_UNREAD_BYTES = 128 * 1024  # bytes of answers that a client may leave unread
 MAX_DISCARDED_BYTES = 64 * 1024  # limit of the input read and discarded after the last answer
 
@@ -80,14 +82,13 @@
 
     async def _reserve_memory(self, byte_count):
         """Returns whether there is memory for so many more bytes of a request. A long request waits for a
-        large buffer; without one in the time that a request may take, or at the end of a stop, it is
-        refused."""
+        large buffer; without one in MAX_MEMORY_WAIT_SECONDS, or at the end of a stop, it is refused."""
         is_small = self.protocol.received_bytes + byte_count <= sockets.SMALL_MESSAGE_BYTES
         if is_small or self.holds_large_buffer:
             return True
         self.listener.waiting_clients[self] = None
         try:
-            seconds = 0 if self.listener.is_closed else self._get_read_timeout()
+            seconds = 0 if self.listener.is_closed else MAX_MEMORY_WAIT_SECONDS
             async with asyncio.timeout(seconds) as self.read_timeout:
                 await self.listener.large_requests.acquire()
         except TimeoutError:
--- a/tests/test_large_buffers.py
+++ b/tests/test_large_buffers.py
@@ -60,7 +60,9 @@
 
 
 # Guards against long requests that are held beyond what the memory has room for.
-def test_a_long_request_waits_for_memory_while_short_ones_are_accepted(run_in_process):
+def test_a_long_request_waits_for_memory_while_short_ones_are_accepted(run_in_process, monkeypatch):
+    monkeypatch.setattr(client_module, "MAX_MEMORY_WAIT_SECONDS", 60.0)  # longer than this test may take
+
     async def scenario(harness):
         listener = harness.program.listener
         listener.large_requests.set_limit(1)
@@ -89,7 +91,27 @@
     run_in_process(scenario)
 
 
-def test_a_client_that_waits_for_memory_makes_room_and_gets_its_answer(run_in_process):
+# Guards against a long request on a kept connection that waits for memory past its deadline.
+def test_a_long_request_on_a_kept_connection_is_refused_in_time(run_in_process):
+    async def scenario(harness):
+        reader, writer = await harness.open_client_connection()
+        writer.write(harness.encode_job("/render/1"))
+        request = await harness.worker.requests.get()
+        request.send(encode_done_response(request))
+        await reader.readuntil(b"ok")
+        harness.program.listener.large_requests.set_limit(0)
+        deadline_seconds, latest_seconds = 0.3, 0.3 + 0.5
+        async with asyncio.timeout(latest_seconds):
+            writer.write(harness.encode_job("/render/1", body=LONG_BODY, deadline=str(deadline_seconds)))
+            assert (await reader.readline()).split()[1] == b"503"
+        writer.close()
+
+    run_in_process(scenario)
+
+
+def test_a_client_that_waits_for_memory_makes_room_and_gets_its_answer(run_in_process, monkeypatch):
+    monkeypatch.setattr(client_module, "MAX_MEMORY_WAIT_SECONDS", 60.0)  # longer than this test may take
+
     async def scenario(harness):
         listener = harness.program.listener
         listener.large_requests.set_limit(0)
@@ -111,7 +133,7 @@
 def test_a_long_request_that_waits_at_the_end_of_a_stop_is_refused(run_in_process, monkeypatch, comes):
     async def scenario(harness):
         listener = harness.program.listener
-        monkeypatch.setattr(client_module, "MAX_REQUEST_SECONDS", 60.0)  # longer than this test may take
+        monkeypatch.setattr(client_module, "MAX_MEMORY_WAIT_SECONDS", 60.0)  # longer than this test may take
         listener.large_requests.set_limit(0)
         reader, writer = await harness.open_client_connection()
         await wait_until(lambda: listener.clients)
