--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import struct
@@ -36,6 +37,7 @@
 
 MS = 1_000_000
 # Below the ports that the simulated network allocates; a free port of this machine may be one of them.
+PROGRAM_PORTS = range(10_000, 32_000)
 SIMULATED_ADDRESSES = ("127.0.0.1", 7070), ("127.0.0.1", 7071)
 ROOT = pathlib.Path(__file__).parent.parent
 # A test fails if the program logs one of these.
@@ -458,12 +460,17 @@
 
 
 def find_free_addresses(count):
-    """Finds so many different addresses that nobody uses."""
+    """Finds so many different addresses that nobody uses, below the ports that the kernel gives to clients: a
+    crowd of another test could take one of those before it is used."""
+    generator = random.SystemRandom()
+    addresses = []
     with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname() for probe in probes]
+        while len(addresses) < count:
+            probe = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):  # the port is in use
+                probe.bind(("127.0.0.1", generator.choice(PROGRAM_PORTS)))
+                addresses.append(probe.getsockname())
+    return addresses
 
 
 @contextlib.contextmanager
