--- a/tests/pressure.py
+++ b/tests/pressure.py
@@ -21,16 +21,18 @@
 BODY_BYTES = 64 * 1024  # the longest body that a request may have
 SHORT_FIELDS_BYTES = 16 * 1000  # of one head made of very many short fields
 RECONNECT_PAUSE_SECONDS = 0.002
+DAY_SECONDS = 86_400
+ACCEPTANCE_SECONDS = 0.005  # within which a job has usually been accepted
 HELD_SECONDS = 1.2  # how long a crowd keeps a request incomplete; less than a request may take
 
 
-def encode_head(path="/render/1?sid=7", id="p1", length=0, extra=b"", method="POST"):
+def encode_head(path="/render/1?sid=7", id="p1", length=0, extra=b"", method="POST", deadline=5.0):
     """Encodes the head of a job request, with raw lines of header fields at its end."""
     lines = [
         f"{method} {path} HTTP/1.1",
         "Host: backend.local",
         f"Req-Id: {id}",
-        "Req-Deadline: 5.0",
+        f"Req-Deadline: {deadline}",
         f"Content-Length: {length}",
     ]
     return "\r\n".join([*lines, ""]).encode() + extra + b"\r\n"
@@ -147,6 +149,34 @@
                 await writer.drain()
             writer.close()
 
+    async def long_jobs_left(self):
+        """Jobs of ever new ids that have a day's time, on eight connections at once; each is left once it is
+        accepted."""
+
+        async def play():
+            while not self.is_over:
+                _, writer = await self.connect()
+                writer.write(encode_head("/render/1", self.make_id(), deadline=DAY_SECONDS))
+                self.sent["requests"] += 1
+                await asyncio.sleep(ACCEPTANCE_SECONDS)
+                writer.transport.abort()
+
+        await asyncio.gather(*(play() for _ in range(8)))
+
+    async def expired_jobs(self):
+        """Jobs of ever new ids without any time left, one after the other on one connection."""
+        await self.exchange_repeatedly(lambda: encode_head("/render/1", self.make_id(), deadline=0))
+
+    async def many_trailers(self):
+        """Bodies that end in very many short trailer fields, one request after the other on one connection."""
+        trailer = b"0\r\n" + b"a:\r\n" * (SHORT_FIELDS_BYTES // 4) + b"\r\n"
+
+        def make_request():
+            head = encode_head(id=self.make_id()).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            return head + trailer
+
+        await self.exchange_repeatedly(make_request)
+
     async def readiness(self):
         """Questions whether it is ready, without reading the answers."""
         await self.write_without_reading(lambda: b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n" * 100)
@@ -239,6 +269,17 @@
 
         await self.hold_connections(CROWD_SIZE, write)
 
+    async def crowd_of_trailers(self):
+        """A crowd that sends bodies that end in very many short trailer fields."""
+        trailer = b"0\r\n" + b"a:\r\n" * (SHORT_FIELDS_BYTES // 4) + b"\r\n"
+
+        async def write(writer):
+            head = encode_head(id=self.make_id()).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            writer.write(head + trailer)
+            await writer.drain()
+
+        await self.hold_connections(CROWD_SIZE, write)
+
     async def large_jobs_left(self):
         """A crowd of large jobs whose clients leave right after they are handed off."""
 
@@ -295,6 +336,8 @@
     "unread_answers",
     "reset_connections",
 )
+# Kinds that came later: seeds of the soak choose from the ones above alone.
+LATER_KINDS = ("long_jobs_left", "expired_jobs", "many_trailers", "crowd_of_trailers")
 
 
 class Answer(NamedTuple):
