Timers: those of work items end with them, so that memory does not grow by jobs that were left

What callers saw: a process passed its memory limit while clients handed in small jobs under ever new names.

Change: a work item and a hand-off have one timer each; it is cancelled (new action CancelTimer) when the wait ends. The engine cancels the event loop's timer, also where the module is replaced. What is decided, and when, is unchanged.

--- a/heronwinch/benchlink/codec.py
+++ b/heronwinch/benchlink/codec.py
@@ -303,6 +303,7 @@
     interface.SetTimer: lambda instance, action: _SET_TIMER_RECORD.pack(
         1040, 14, instance, action.after, action.token
     ),
+    interface.CancelTimer: lambda instance, action: b"",  # the protocol has no such action
     interface.Probe: lambda instance, action: _WORKER_RECORD.pack(1050, 6, instance, action.worker),
     interface.CloseIdle: lambda instance, action: _WORKER_RECORD.pack(1060, 6, instance, action.worker),
     interface.Log: _encode_log,
--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -385,6 +385,12 @@
     token: int
 
 
+class CancelTimer(NamedTuple):
+    """Drop the timer with this token, if it is still to come due. A caller that can't may let it come due."""
+
+    token: int
+
+
 class Probe(NamedTuple):
     """Ask a worker for its load report (its busy alert)."""
 
--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -83,6 +83,7 @@
         self.discovery = None
         self.ledger = None  # net.ledger.Ledger, which records work items that are not rerunnable, or None
         self.held_answers = set()  # tasks of answers that wait for their ledger record
+        self.timers = {}  # token -> asyncio.TimerHandle of a timer of the module
         self.last_fleet_event = None  # the latest event about other dispatchers, for a restarted module
         self.module = make_module(terms, self.random.getrandbits(64))
         self.action_handlers = {
@@ -91,6 +92,7 @@
             interface.WriteOff: self._answer_item,
             interface.Cancel: self._cancel_hand_off,
             interface.SetTimer: self._set_timer,
+            interface.CancelTimer: self._cancel_timer,
             interface.Probe: lambda action: self.workers.start_probe(action.worker),
             interface.CloseIdle: lambda action: self.workers.close_idle_connections(action.worker),
             interface.Subscribe: lambda action: self.discovery.subscribe(action.on),
@@ -162,6 +164,9 @@
         new module gets the list of workers and nothing else. Work items without a hand-off in flight are
         answered at once, the others when their hand-offs have ended."""
         self.events = []
+        for timer in self.timers.values():
+            timer.cancel()
+        self.timers.clear()
         self.module = self.make_module(self.terms, self.random.getrandbits(64))
         for item in list(self.items.values()):
             item.is_orphaned = True
@@ -449,11 +454,20 @@
 
     def _set_timer(self, action):
         """Carries out a SetTimer action."""
-        self.loop.call_later(action.after / interface.SECOND, self._post_timer, action.token, self.module)
+        self.timers[action.token] = self.loop.call_later(
+            action.after / interface.SECOND, self._post_timer, action.token, self.module
+        )
+
+    def _cancel_timer(self, action):
+        """Carries out a CancelTimer action, unless the timer has come due."""
+        timer = self.timers.pop(action.token, None)
+        if timer is not None:
+            timer.cancel()
 
     def _post_timer(self, token, module):
         """Tells the module that a timer has come due."""
         if module is self.module:  # timers of a replaced module are ignored
+            self.timers.pop(token, None)
             self.post(interface.Rang(token))
 
     # ---- the end of a work item
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -17,6 +17,7 @@
     Answered,
     Arrived,
     Cancel,
+    CancelTimer,
     ClientSurge,
     CloseIdle,
     Defer,
@@ -145,6 +146,7 @@
         "was_worker_open",
         "last_sign_at",
         "had_shown_room",
+        "timer_token",
     )
 
     def __init__(self, wi, number, worker, sent_at, was_worker_open):
@@ -155,6 +157,7 @@
         self.answered = False
         self.elapsed = 0  # nanoseconds from start to answer, set with the answer
         self.last_sign_at = sent_at  # when the worker last reported start or progress of the work item
+        self.timer_token = 0  # token of the timer that checks its progress, 0 without one
         self.had_shown_room = False  # whether a report of free slots had just arrived when it was sent
         # Whether the hand-off was sent to an open worker: then the time up to the answer is running time
         # only, without waiting.
@@ -214,7 +217,7 @@
         self.first_possible_run = None  # the first hand-off that may have run
         self.ended = False
         self.waiting_for = None  # WAIT_FOR_WORKER, or the worker asked for its busy alert
-        self.timer_token = 0  # token of the newest timer; older timers are ignored
+        self.timer_token = 0  # token of the timer that ends its wait, 0 without one
         self.alert_requests = 0  # number of busy alerts asked for
         self.yield_draw = 0.0  # random: the higher, the earlier the work item yields to work of more credit
         self.is_within_share = True  # whether the work item is within its account's share
@@ -554,6 +557,7 @@
     def _advance_work_item(self, wi, answer=None):
         """Resumes the generator of a work item and does what it yields."""
         wi.waiting_for = None
+        self._cancel_timer(wi)
         try:
             worker = wi.generator.send(answer)
         except StopIteration as end:
@@ -582,7 +586,7 @@
     def _wait_with_timer(self, wi, awaited, delay):
         """Notes what a work item without a hand-off in flight waits for; a timer ends the wait."""
         wi.waiting_for = awaited
-        wi.timer_token = self._set_timer(wi, delay)
+        self._set_timer(wi, delay)
 
     def _handle_wait_timeout(self, wi):
         """The timer of a waiting work item has expired."""
@@ -693,6 +697,7 @@
         """Ends a work item with a final answer, or with None if the client has one or has left."""
         wi.ended = True
         wi.generator = None
+        self._cancel_timer(wi)
         if wi.waiting_for is WAIT_FOR_WORKER:
             del self.queue[wi.id]
         elif wi.waiting_for is not None:
@@ -759,13 +764,20 @@
             self.actions.append(Cancel(wi.id, ho.number))
 
     def _set_timer(self, owner, delay):
-        """Sets a timer for a work item or a hand-off; returns its token."""
+        """Sets the timer of a work item or a hand-off, in place of the one that it may have."""
+        self._cancel_timer(owner)
         self.last_timer_token = (
             self.last_timer_token + 1 if self.last_timer_token < 2**32 - 1 else FIRST_WORK_ITEM_TIMER
         )
-        self.timers[self.last_timer_token] = owner
-        self.actions.append(SetTimer(max(1, delay), self.last_timer_token))
-        return self.last_timer_token
+        owner.timer_token = self.last_timer_token
+        self.timers[owner.timer_token] = owner
+        self.actions.append(SetTimer(max(1, delay), owner.timer_token))
+
+    def _cancel_timer(self, owner):
+        """Cancels the timer of a work item or a hand-off, which would be kept in memory with it."""
+        if self.timers.pop(owner.timer_token, None) is not None:
+            self.actions.append(CancelTimer(owner.timer_token))
+        owner.timer_token = 0
 
     # ---- events
 
@@ -797,6 +809,7 @@
         if ho.answered:
             return
         ho.answered = True
+        self._cancel_timer(ho)
         wi.in_flight -= 1
         self._record_possible_run(ho, event.outcome)
         self._learn_from_answer(ho, event)
@@ -879,11 +892,10 @@
                 if not wi.ended:
                     self._end_work_item(wi, self._build_final_answer(wi))
         else:
-            owner = self.timers.pop(event.token)
+            owner = self.timers.pop(event.token, None)
             if type(owner) is HandOffState:
-                if not owner.answered:
-                    self._check_progress(owner)
-            elif owner.timer_token == event.token and owner.waiting_for is not None:
+                self._check_progress(owner)
+            elif owner is not None:  # not cancelled while it was coming due
                 self._handle_wait_timeout(owner)
 
     def _on_planned_stop(self, event):
