Pressure: failing tests for trailers, ids of jobs that never ran, and garbage of ended requests

Seen on real processes: one client with trailers of 4,000 fields raises the usual clients' answers from 0.023 s to 0.035 s (last 0.234), 400 of them to 0.281 s (last 0.683); a crowd with as many fields in the head 0.050 (0.077). Jobs with no time left, three clients at full speed: 1,710 ids a second are kept for 10 s, half of the table's room on this machine; in the test, with a small table, all others are deferred. Of a request that ended by an error or a cancelled hand-off, the client, its connection and the hand-off stay in memory until the garbage collector has counted 700 new objects.

--- a/tests/test_memory_growth.py
+++ b/tests/test_memory_growth.py
@@ -3,12 +3,12 @@
 import asyncio
 import gc
 import tracemalloc
-from collections import deque
+from collections import Counter, deque
 
 import pressure
 import pytest
 from conftest import MS, TWO_WORKERS, split_answer
-from in_process import encode_done_response, wait_until
+from in_process import encode_done_response, reset_connection, wait_until
 from limited_program import LimitedProgram
 from test_policy import OPEN_AFTER_MS
 
@@ -86,6 +86,41 @@
     assert await exchange(harness, harness.encode_job(path, close=True)) == 404
 
 
+async def leave_half_a_body(harness):
+    reader, writer = await send(harness, harness.encode_job("/render/1", body=b"x" * 60_000)[:-10])
+    clients = harness.program.listener.clients
+    await wait_until(lambda: any(len(client.protocol.body) > 50_000 for client in clients))
+    writer.transport.abort()
+    await wait_until(lambda: not clients)
+
+
+async def leave_a_long_job_that_is_out(harness):
+    _, writer = await send(harness, harness.encode_job("/render/1", body=b"x" * 60_000))
+    await harness.worker.requests.get()
+    writer.transport.abort()
+    await harness.worker.ended.get()
+
+
+async def lose_the_worker(harness):
+    task = await harness.send_job("/charge/1")
+    reset_connection((await harness.worker.requests.get()).writer)
+    assert (await task)[0] == 500
+
+
+async def have_a_worker_answer_unsoundly(harness):
+    task = await harness.send_job("/charge/1")
+    (await harness.worker.requests.get()).send(b"unsound\r\n\r\n")
+    assert (await task)[0] == 500
+
+
+async def ask_whether_it_is_ready(harness):
+    assert await exchange(harness, b"GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n") == 200
+
+
+async def send_a_request_too_slowly(harness):
+    assert await exchange(harness, b"POST /render/1 HTTP/1.1\r\n") == 408
+
+
 async def have_a_job_served(harness):
     task = await harness.send_job("/render/1", deadline=DAY_SECONDS)
     request = await harness.worker.requests.get()
@@ -129,6 +164,64 @@
     run_in_process(scenario, listed=listed)
 
 
+PROGRAM_MODULES = ("heronwinch", "h11")
+COLLECTED_REQUESTS = 2
+
+
+async def list_collected_objects(harness, play):
+    """Returns the types of the program's objects of some requests that only the garbage collector frees."""
+    for _ in range(COLLECTED_REQUESTS):
+        await play(harness)
+        await wait_until(lambda: not harness.program.listener.clients and not harness.engine.items)
+    gc.set_debug(gc.DEBUG_SAVEALL)
+    gc.collect()
+    types = Counter(type(item).__name__ for item in gc.garbage if is_of_the_program(item))
+    return {name: count for name, count in types.items() if count >= COLLECTED_REQUESTS}
+
+
+def is_of_the_program(item):
+    return type(item).__module__.split(".")[0] in PROGRAM_MODULES
+
+
+@pytest.fixture
+def collector():
+    """Stops the garbage collector for a test, and then undoes what the test has set."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.set_debug(0)
+    gc.garbage.clear()
+    gc.enable()
+
+
+# Guards against memory that is kept until the garbage collector runs, which counts objects and not bytes.
+@pytest.mark.parametrize(
+    "play",
+    [
+        leave_a_job_that_is_out,
+        leave_a_long_job_that_is_out,
+        leave_half_a_body,
+        lose_the_worker,
+        have_a_worker_answer_unsoundly,
+        send_an_expired_job,
+        send_an_unsound_request,
+        send_a_request_too_slowly,
+        ask_for_an_unknown_category,
+        ask_whether_it_is_ready,
+        have_a_job_served,
+    ],
+)
+def test_no_object_of_a_request_that_has_ended_waits_for_the_garbage_collector(
+    run_in_process, collector, play
+):
+    async def scenario(harness):
+        await play(harness)
+        gc.collect()
+        assert await list_collected_objects(harness, play) == {}
+
+    run_in_process(scenario)
+
+
 # Guards against a process that passes its memory limit as clients hand in jobs that wait, and leave.
 def test_memory_does_not_grow_by_jobs_that_were_left(tmp_path):
     async def main():
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -12,6 +12,7 @@
 from limited_program import LimitedProgram
 from pressure_soak import Soak
 
+from heronwinch.net import recent_ids
 from heronwinch.net.sockets import CONNECTION_BYTES, LARGE_BUFFER_BYTES
 
 SMALL_MEMORY_MB, LARGE_MEMORY_MB = 32, 192
@@ -163,6 +164,32 @@
     run_in_process(scenario)
 
 
+# Guards against clients whose jobs never ran, and which leave no room for the ids of others.
+def test_jobs_that_never_ran_take_no_room_from_the_ids_of_others(run_in_process, monkeypatch):
+    monkeypatch.setattr(recent_ids, "SLOT_COUNT", 64)
+
+    async def scenario(harness):
+        for _ in range(200):
+            status, _ = await (await harness.send_job("/render/1", deadline="0"))
+            assert status == 503
+        assert not harness.program.counters.counts["no_room_for_id"]
+        await harness.serve_job()
+
+    run_in_process(scenario)
+
+
+# Guards against a job that is refused although it has never run.
+@pytest.mark.parametrize("listed", [0, 1])
+def test_an_id_whose_job_never_ran_may_come_again(run_in_process, listed):
+    async def scenario(harness):
+        for _ in range(2):
+            status, _ = await (await harness.send_job("/charge/1", id="again", deadline="0"))
+            assert status == 503
+        assert not harness.worker.request_ids
+
+    run_in_process(scenario, listed=listed)
+
+
 # Guards against a hand-off that is sent although what its client has sent since is not examined yet.
 def test_nothing_is_handed_off_while_input_of_its_client_is_unexamined(run_in_process, monkeypatch):
     async def scenario(harness):
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -50,6 +50,11 @@
     return [event for chunk_data in chunks for event in protocol.feed_data(chunk_data)]
 
 
+def split(data, piece_bytes):
+    """Returns the data in pieces of so many bytes."""
+    return [data[start : start + piece_bytes] for start in range(0, len(data), piece_bytes)]
+
+
 def test_buffer_is_bounded_and_returns_only_whole_lines():
     buffer = Buffer(10)
     buffer.add(b"one\ntwo")
@@ -137,6 +142,7 @@
     return b"\r\n".join([b"POST %s HTTP/1.1" % path.encode(), b"Host: a", b"Req-Id: ab12", *lines, b"", body])
 
 
+CHUNKED_HEAD = build_request(b"Transfer-Encoding: chunked")
 SMUGGLED = b"0\r\n\r\n" + encode_job(id="hidden")
 
 
@@ -208,6 +214,16 @@
         pytest.param(
             build_request(b"Transfer-Encoding: chunked", body=b"1\r\nx\r\n" * 20_000), 400, id="chunks"
         ),
+        pytest.param(
+            build_request(b"Transfer-Encoding: chunked", body=b"0\r\n" + b"a:\r\n" * 3000 + b"\r\n"),
+            431,
+            id="trailer fields",
+        ),
+        pytest.param(
+            build_request(b"Transfer-Encoding: chunked", body=b"1\r\nx\r\n00;b\r\n" + b"a:\r\n" * 3000),
+            431,
+            id="half a trailer",
+        ),
         pytest.param(encode_job("/render/1?" + "a=1&" * 3000), 400, id="parameters"),
         pytest.param(encode_job(Req_Extra="a=1," * 3000 + "b=1"), 400, id="figures"),
     ],
@@ -217,6 +233,30 @@
     assert [event.status for event in events if type(event) is RejectedRequest] == [status]
 
 
+# Guards against requests that cost much more processor time than others of their size, whole or in pieces.
+@pytest.mark.parametrize("piece_bytes", [1, 7, 4096])
+def test_a_trailer_of_very_many_fields_is_rejected_before_it_is_complete(piece_bytes):
+    protocol, data = ClientProtocol(ADMISSION_RULES), CHUNKED_HEAD + b"0\r\n" + b"a:\r\n" * 3000
+    events = feed_all(protocol, *split(data, piece_bytes))
+    assert [event.status for event in events] == [431]
+
+
+# Guards against a body that is taken for a trailer.
+@pytest.mark.parametrize("piece_bytes", [1, 7, 4096])
+@pytest.mark.parametrize("body", [b"0\r\n" * 300, b"\n0\n" * 300, b"\r\n0\r\n\r\n" * 300])
+@pytest.mark.parametrize("chunk_bytes", [0, 5, 100, 1000])
+def test_bodies_of_very_many_lines_are_accepted(body, chunk_bytes, piece_bytes):
+    if chunk_bytes:
+        data = CHUNKED_HEAD + b"".join(
+            b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in split(body, chunk_bytes)
+        )
+        data += b"0\r\nA: 1\r\n\r\n"
+    else:
+        data = build_request(b"Content-Length: %d" % len(body), body=body)
+    (job,) = feed_all(ClientProtocol(ADMISSION_RULES), *split(data, piece_bytes))
+    assert job.body == body
+
+
 def test_an_id_used_elsewhere_before_the_body_arrives_is_rejected():
     ids_in_use = set()
     protocol = ClientProtocol(ADMISSION_RULES._replace(open_ids=ids_in_use))
