Ids: that of a job which never ran is dropped with it, and takes no room from others

What callers saw: jobs deferred (503) while one client hands in jobs under ever new names. Cause: every id was kept for 10 s after its job had ended, also where the job was deferred or left without a hand-off; ids are never dropped early, so a client that sends jobs with no time left fills the table, and everybody else's jobs are deferred. Change: an id is kept only where the job may have run; where all hand-offs provably never ran, or there was none, it is dropped at once and may come again.

--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -511,15 +511,23 @@
 
     def _drop_if_done(self, item):
         """Drops a work item once it is answered and none of its hand-offs is in flight."""
-        if item.ended and not item.in_flight and self.items.pop(item.number, None) is not None:
+        if not item.ended or item.in_flight or self.items.pop(item.number, None) is None:
+            return
+        if _may_have_run(item.outcomes):
             self.recent_ids.release(item.job.id)
+        else:
+            self.recent_ids.forget(item.job.id)
+
+
+def _may_have_run(outcomes):
+    """Whether a work item may have run, by the outcomes of its hand-offs."""
+    return any(outcome not in interface.NEVER_RAN for outcome in outcomes)
 
 
 def _make_safe_answer(number, outcomes, effect):
     """Returns the answer to a work item for which nothing more is done: a WriteOff if it may have run and is
     not rerunnable, else a Defer."""
-    may_have_run = any(outcome not in interface.NEVER_RAN for outcome in outcomes)
-    if may_have_run and effect != interface.Effect.RERUNNABLE:
+    if _may_have_run(outcomes) and effect != interface.Effect.RERUNNABLE:
         return interface.WriteOff(number)
     return interface.Defer(number, 0)
 
--- a/heronwinch/net/recent_ids.py
+++ b/heronwinch/net/recent_ids.py
@@ -1,4 +1,5 @@
-"""The ids of work items that are held, or were until a while ago: such an id must not run again.
+"""The ids of work items that are held, or that may have run and ended a while ago: such an id must not run
+again.
 
 They stand in a table of fixed size. Processes that serve the same inherited socket share it, through a file
 that all of them map, so that an id which one of them has accepted is known to the other from then on, also
@@ -50,10 +51,18 @@
         self._keep(id, time_left + RECENT_NS)
 
     def release(self, id):
-        """Starts the time after which the id of a work item that has ended is forgotten."""
+        """Starts the time after which the id of a work item that has ended, and may have run, is dropped."""
         self.held.discard(id)
         self._keep(id, RECENT_NS)
 
+    def forget(self, id):
+        """Drops the id of a work item that never ran: it may come again."""
+        self.held.discard(id)
+        with self._lock():
+            entry_offset, _ = self._find(_hash(id), self.read_clock())
+            if entry_offset is not None:
+                SLOT.pack_into(self.memory, entry_offset, 0, 0)
+
     def _keep(self, id, nanoseconds):
         with self._lock():
             now, id_hash = self.read_clock(), _hash(id)
--- a/tests/test_recent_ids.py
+++ b/tests/test_recent_ids.py
@@ -80,3 +80,15 @@
     monkeypatch.setattr(recent_ids.os, "posix_fallocate", fail)
     with pytest.raises(OSError):
         open_shared_ids(ManualClock(), listening_socket, tmp_path)
+
+
+def test_an_id_that_was_forgotten_leaves_its_place_to_others(monkeypatch):
+    monkeypatch.setattr(recent_ids, "SLOT_COUNT", 64)
+    ids = make_private_ids(ManualClock())
+    for number in range(1000):
+        id = b"id%d" % number
+        assert ids.has_room(id)
+        ids.add(id, SECOND)
+        ids.forget(id)
+        assert id not in ids
+    assert not len(ids)
