Memory: nothing of a request that has ended waits for the garbage collector

What callers saw: memory that grows under many connections. The collector runs after so many new objects, not bytes, so what waits for it is in no account of memory. Three cycles kept ended requests: an exception of h11 refers to its own traceback, which keeps the frames up to the client's task (each unsound request: some 49 objects and 8.5 KB); the exception that ended a hand-off's task refers to the hand-off, and that to the task; in the module a work item and its hand-offs refer to each other. Each is broken where it ends. asyncio's own cycle of a transport stays, some 1.2 KB a connection.

--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -615,6 +615,7 @@
             if self.counters.count("hand_off_fault"):
                 log.error("hand_off_fault", worker=ho.worker.host, exc_info=ho.task.exception())
         ho.set_outcome(Completion(interface.Outcome.RESET))
+        ho.task = None  # the exception that ended the task refers to the hand-off
 
     def _compute_seconds_until(self, until):
         """Returns the seconds from now to a clock time, at least 0."""
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -707,6 +707,8 @@
             self.actions.append(answer)
         if not wi.in_flight:
             self.work_items.pop(wi.id, None)
+            # These refer to the work item, which would wait for the garbage collector.
+            wi.hand_offs, wi.first_possible_run = (), None
 
     def _hand_off(self, wi, worker):
         """Hands a work item to a worker now."""
--- a/heronwinch/protocol/clients.py
+++ b/heronwinch/protocol/clients.py
@@ -13,7 +13,7 @@
 
 from heronwinch.interface import SECOND
 from heronwinch.protocol.buffer import Buffer, BufferLimitError
-from heronwinch.protocol.http_client import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from heronwinch.protocol.http_client import MAX_BODY_BYTES, MAX_HEAD_BYTES, release_frames
 
 ID_PATTERN = re.compile(rb"[0-9A-Za-z._~:-]{1,128}")
 TICKET_PATTERN = re.compile(rb"[!-~]{1,256}")
@@ -198,6 +198,7 @@
                 else:
                     break
         except h11.RemoteProtocolError as error:
+            release_frames(error)
             events.append(self._reject(error.error_status_hint, str(error)))
         except BufferLimitError as error:
             events.append(self._reject(413, str(error)))
--- a/heronwinch/protocol/http_client.py
+++ b/heronwinch/protocol/http_client.py
@@ -31,6 +31,12 @@
     pass
 
 
+def release_frames(error):
+    """Drops the traceback of an exception of h11 that has been handled. One of its frames refers to the
+    exception, so that all of them, and what they refer to, would wait for the garbage collector."""
+    error.__traceback__ = None
+
+
 class HttpClient:
     """One client connection without its socket: the caller writes requests and feeds the bytes received."""
 
@@ -60,6 +66,7 @@
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
+                release_frames(error)
                 raise InvalidResponseError(str(error)) from None
             kind = type(event)
             if kind is h11.Response:
--- a/tests/in_process.py
+++ b/tests/in_process.py
@@ -76,6 +76,10 @@
             self.ended.put_nowait(writer)
         finally:
             writer.close()
+            # Else the reset of a connection may be reported, when it is collected, as an exception that
+            # nobody has retrieved.
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
 
 
 def reset_connection(writer):
