--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import socket
+import time
 
 import h11
 import pressure
@@ -23,6 +24,7 @@
 MAX_PARSER_EVENTS_PER_TURN = 1000
 MAX_BYTES_IN_ONE_READ = 16 * 1024
 CROWD_SIZE = 50
+LATE_TURN_SECONDS = 0.03
 CONNECTIONS_MEASURED = 200
 SMALL_CHUNKS = b"1\r\nx\r\n" * 20_000
 
@@ -217,6 +219,24 @@
     run_in_process(scenario)
 
 
+# Guards against work that is held to be overdue as its hand-off takes some turns of a late loop to end.
+def test_a_hand_off_that_times_out_in_a_late_loop_is_answered_by_the_module(run_in_process):
+    def delay_turns(loop, until):
+        time.sleep(LATE_TURN_SECONDS)
+        if loop.time() < until:
+            loop.call_soon(delay_turns, loop, until)
+
+    async def scenario(harness):
+        task = await harness.send_job("/charge/1", deadline="0.3")
+        await harness.worker.requests.get()
+        loop = harness.engine.loop
+        loop.call_later(0.25, delay_turns, loop, loop.time() + 0.6)
+        assert (await task)[0] == 500
+        assert not harness.program.counters.counts["overdue"]
+
+    run_in_process(scenario)
+
+
 # Guards against the body of a large job that is kept, for as long as its worker hangs, once its client left.
 def test_the_body_of_a_job_is_dropped_when_its_client_leaves(run_in_process):
     async def scenario(harness):
