Sockets: what the kernel holds of a connection is bounded in both directions, on inherited sockets too

Cause: SO_RCVBUF was set on a listening socket of our own alone; SO_SNDBUF nowhere, so that the kernel took up to 3.9 MB of answers from the process for each client that does not read, beyond the limit of 128 KiB on unread answers, and let the receive buffer of a connection to a worker grow as that sends. None of it was in the account of memory. Change: both buffers are set on listening sockets, also an inherited one, which the connections take over, and the receive buffer on connections to workers.

Whether a platform counts this memory is not known to us; the resident memory that we measure does not show it.

--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -14,7 +14,10 @@
 from heronwinch.net.presence import Presence
 from heronwinch.net.recent_ids import make_private_ids, open_shared_ids
 
-RECEIVE_BUFFER_BYTES = 32 * 1024  # SO_RCVBUF of a client's connection; the kernel allocates twice that
+# What the kernel holds of a connection, of which it allocates twice as much: unread input of clients and
+# workers, and unsent answers to clients.
+RECEIVE_BUFFER_BYTES = 32 * 1024
+SEND_BUFFER_BYTES = 64 * 1024
 
 
 class InheritedSocket(socket.socket):
@@ -31,6 +34,17 @@
     return bool(poll.poll(0))
 
 
+def _limit_kernel_buffers(sock):
+    """Bounds the kernel's buffers of the connections that a socket accepts. Without these limits a system may
+    hold megabytes of each connection whose peer does not read."""
+    for option, size in (
+        (socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
+        (socket.SO_SNDBUF, SEND_BUFFER_BYTES),
+    ):
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, option, size)
+
+
 class Machine:
     """The real machine. Its clock counts whole nanoseconds of Unix time and never steps back: discovery lists
     the starts of workers in Unix time, and the system's wall clock may be set while the dispatcher runs."""
@@ -98,13 +112,13 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
     def create_listening_socket(self, host, port):
-        """Returns a socket bound to an address, to listen on. The kernel's receive buffer of each connection
-        is bounded. Raises OSError if the address can't be used."""
+        """Returns a socket bound to an address, to listen on. The kernel's buffers of each connection are
+        bounded. Raises OSError if the address can't be used."""
         family, kind, proto, _, address = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
         sock = socket.socket(family, kind, proto)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            _limit_kernel_buffers(sock)
             sock.bind(address)
         except BaseException:
             sock.close()
@@ -112,8 +126,8 @@
         return sock
 
     def adopt_listening_socket(self, descriptor):
-        """Returns the listening socket that this process has inherited as a descriptor. Raises OSError if
-        there is none."""
+        """Returns the listening socket that this process has inherited as a descriptor. The kernel's buffers
+        of each connection are bounded from now on. Raises OSError if there is none."""
         try:
             os.fstat(descriptor)
             sock = InheritedSocket(fileno=descriptor)
@@ -123,8 +137,16 @@
         if not listens:
             raise OSError(f"descriptor {descriptor} does not listen")
         sock.set_inheritable(False)
+        _limit_kernel_buffers(sock)
         return sock
 
+    def limit_receive_buffer(self, writer):
+        """Bounds what the kernel holds of the unread input of a connection that was made to a peer."""
+        sock = writer.get_extra_info("socket")
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
     def get_shared_folder(self):
         """Returns the folder in which this process and its successor find each other's files."""
         return os.environ.get("TMPDIR") or "/tmp"
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -444,6 +444,7 @@
         except BaseException:
             self.open_count -= 1
             raise
+        self.machine.limit_receive_buffer(streams[1])
         return Connection(address, *streams)
 
     def _is_reusable(self, connection):
--- a/heronwinch/rehearsal/simulation/process.py
+++ b/heronwinch/rehearsal/simulation/process.py
@@ -262,6 +262,9 @@
     def discard_unsent_on_close(self, writer):
         writer.transport.purges_on_close = True
 
+    def limit_receive_buffer(self, writer):
+        pass  # the simulated network has buffers of its own
+
     def create_listening_socket(self, host, port):
         return self.process.network.create_listener(self.process, host, port)
 
