Engine: a hand-off that has run out of time ends before its work item counts as overdue

Cause: a hand-off that times out takes some loop turns to tell the module (the time limit, the cancelled read, its event, the module's call); with turns of 7 ms and more that is longer than the 20 ms after which the engine answers past the module. Change: before that, the engine ends the item's hand-offs whose time is up and calls the module, which answers by its own rules. The answer is the same, 500 or 503; it does not come later than before.

--- a/heronwinch/net/engine.py
+++ b/heronwinch/net/engine.py
@@ -345,7 +345,9 @@
     def _answer_overdue(self, item):
         """Answers a work item that the module has not answered by its expiry. Rule 1, no client is left
         without an answer, holds whatever the module does."""
-        # After a late loop turn the timer by which the module answers comes due in the same turn as this one.
+        # After late loop turns, what lets the module answer may be due and not carried out: the timer of a
+        # work item that waits, or the end of a hand-off that has run out of time.
+        self.workers.end_overdue_hand_offs(item)
         self.handle_pending_events()
         if item.ended:
             return
--- a/heronwinch/net/workers.py
+++ b/heronwinch/net/workers.py
@@ -397,6 +397,14 @@
             if ho is not None and ho.is_sending:
                 ho.task.cancel()
 
+    def end_overdue_hand_offs(self, item):
+        """Ends the hand-offs of a work item that have run out of time, where their tasks have not done so."""
+        for number in range(len(item.outcomes)):
+            ho = self.hand_offs.get((item.number, number))
+            if ho is not None and ho.outcome is None and self.machine.now() >= ho.until:
+                ho.set_outcome(Completion(interface.Outcome.TIMEOUT))
+                ho.task.cancel()
+
     def start_probe(self, worker_number):
         """Probes a worker, unless a probe of it is in flight."""
         worker = self.by_number[worker_number]
