Rig: views of real processes are printed, and a dispatcher that could not start is a fault

Ruled out by reading: another rig's ports (reserved, subnets by process id). For the next time the test prints starts, ends and views, and a line by which a dispatcher says that it can't start counts as a fault; so far it was taken to live and to have no view.

--- a/heronwinch/rehearsal/loopback.py
+++ b/heronwinch/rehearsal/loopback.py
@@ -54,7 +54,8 @@
 LOGFMT_PAIR = re.compile(
     r'([a-z_]+)=("(?:[^"\\]|\\.)*"|\S*)'
 )  # one field of a log line in structlog's logfmt
-FAULT_MARKERS = (*FAULT_EVENTS, "Traceback")  # texts that mark a log line as a fault
+# Texts that mark a log line as a fault; the last one begins the line on why a dispatcher could not start.
+FAULT_MARKERS = (*FAULT_EVENTS, "Traceback", "heronwinch: ")
 
 
 class PortReservations:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -99,6 +99,15 @@
     assert ends[-1]["settled_s"] < seconds
 
 
+def print_view_events(runner):
+    """Prints what a failure of the views has to be traced by: the lives of the processes and their views."""
+    observations = runner.observations
+    for name, times in (("started", observations.start_times), ("stopped", observations.stop_times)):
+        print(name, dict(times))
+    print("began", observations.began_at)
+    print(*observations.view_events, sep="\n")
+
+
 # Two rigs run side by side, each in subnets of its own.
 @pytest.mark.parametrize(
     "case",
@@ -110,6 +119,7 @@
 def test_views_of_real_processes_settle_after_troubles(case):
     script = parse_script_with_troubles(case)
     runner = loopback.emulate_script(script, 1)
+    print_view_events(runner)
     tree, breaches, _ = summarize(runner, script)
     # If the machine itself stalled, the program can only be held to the rules of work.
     assert_views_settled(tree, breaches, 10, timed=not runner.rig.has_stalled())
