Budget: there is memory for the workers of the last list, not only for those of the configuration

Change: the number of workers that lists have named is looked at every 0.5 s, and the limits of connections and large buffers follow. test_the_budget_has_memory_for_the_workers_of_the_last_list failed before. The soak's seeds from 1000 on also play the later kinds of clients; those below it are as they were.

--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -47,6 +47,7 @@
 LEDGER_DESCRIPTORS = 8
 FLEET_DESCRIPTORS = 16  # reserved for connections to other dispatchers; net/fleet.py keeps to this
 FAULT_SUMMARY_SECONDS = 10.0  # interval of log lines that sum up the faults counted and the state
+BUDGET_CHECK_SECONDS = 0.5  # interval of checks whether the number of known workers has changed
 CLOCK_CHECK_SECONDS = 1.0  # interval of checks for a step of the wall clock
 
 
@@ -76,6 +77,7 @@
             )
             self.presence = machine.open_presence(self.sock)
         self.has_overlap = self._has_other_process() is True
+        self.known_workers = 0  # number of workers in the lists so far that are not forgotten
         budget = self._compute_budget(config)
         self.engine = Engine(
             make_policy,
@@ -155,7 +157,8 @@
         sockets -= FLEET_DESCRIPTORS * (config.fleet is not None) + LEDGER_DESCRIPTORS * (
             config.ledger is not None
         )
-        return ResourceBudget(sockets // share, config.memory_mb // share, len(config.known.hosts))
+        worker_count = max(len(config.known.hosts), self.known_workers)
+        return ResourceBudget(sockets // share, config.memory_mb // share, worker_count)
 
     async def run(self):
         """Starts the dispatcher, serves until SIGTERM or SIGINT and shuts down. Raises StartupError."""
@@ -208,6 +211,7 @@
             replaces=self.has_overlap,
         )
         self._run_periodically(IDLE_SWEEP_SECONDS, self.workers.close_unfit_idle_connections)
+        self._run_periodically(BUDGET_CHECK_SECONDS, self._adjust_budget_to_workers)
         self._poll_overlap()
         self._run_periodically(FAULT_SUMMARY_SECONDS, self._log_summary)
         self._run_periodically(CLOCK_CHECK_SECONDS, WallClockMonitor(self.machine, self.counters).check)
@@ -243,10 +247,19 @@
         self.has_overlap = is_shared
         if self.fleet is not None:
             self.fleet.processes_at_address = 1 + is_shared
-        budget = self._compute_budget(self.config)
+        self._apply_budget(self._compute_budget(self.config))
+        self.engine.change_terms(self._compute_process_terms(self.config), self.config.names)
+
+    def _apply_budget(self, budget):
+        """Sets the limits of sockets and memory."""
         self.listener.set_budget(budget)
         self.workers.set_budget(budget)
-        self.engine.change_terms(self._compute_process_terms(self.config), self.config.names)
+
+    def _adjust_budget_to_workers(self):
+        """Adjusts the limits of memory to the number of workers that lists have named."""
+        if len(self.workers.by_number) != self.known_workers:
+            self.known_workers = len(self.workers.by_number)
+            self._apply_budget(self._compute_budget(self.config))
 
     # ---- operators' calls
 
@@ -318,8 +331,7 @@
             self.workers.terms = new.terms
             self.engine.change_terms(self._compute_process_terms(new), new.names)
             self.listener.set_admission_rules(self.engine.make_admission_rules())
-        self.listener.set_budget(budget)
-        self.workers.set_budget(budget)
+        self._apply_budget(budget)
         if (event := self.workers.apply_remembered(new.known)) is not None:
             self.engine.post(event)
         if new.discovery != old.discovery:
--- a/tests/pressure_soak.py
+++ b/tests/pressure_soak.py
@@ -34,6 +34,7 @@
 HARNESS_SLACK_SECONDS = 0.05  # time for a hand-off to reach the worker of this process
 EXCLUSIVE_PATH = "/charge"
 KINDS = pressure.ONE_CLIENT_KINDS + pressure.CROWD_KINDS
+FIRST_SEED_OF_LATER_KINDS = 1000  # seeds below it play what they have always played
 WORKER_MODES = ("done", "done", "done", "silent", "mute", "returned", "error")
 
 
@@ -122,7 +123,8 @@
     def __init__(self, seed):
         self.seed = seed
         self.generator = random.Random(seed)
-        self.kinds = self.generator.sample(KINDS, 2)
+        has_later_kinds = seed >= FIRST_SEED_OF_LATER_KINDS
+        self.kinds = self.generator.sample(KINDS + pressure.LATER_KINDS * has_later_kinds, 2)
         self.memory_mb = self.generator.choice([32, 32, 48, 64, 192])
         self.ending = self.generator.choice(["stop", "stop", "kill"])
         self.findings = []
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -9,12 +9,12 @@
 import pressure
 import pytest
 from conftest import FAULT_EVENTS, encode_job
-from in_process import wait_until
+from in_process import encode_listing_response, wait_until
 from limited_program import LimitedProgram
 from pressure_soak import Soak
 
 from heronwinch.net import recent_ids
-from heronwinch.net.sockets import CONNECTION_BYTES, LARGE_BUFFER_BYTES
+from heronwinch.net.sockets import CONNECTION_BYTES, LARGE_BUFFER_BYTES, ResourceBudget
 
 SMALL_MEMORY_MB, LARGE_MEMORY_MB = 32, 192
 PRESSURE_SECONDS = 4.0
@@ -24,6 +24,7 @@
 MAX_PARSER_EVENTS_PER_TURN = 1000
 MAX_BYTES_IN_ONE_READ = 16 * 1024
 CROWD_SIZE = 50
+LISTED_WORKERS = 2000
 LATE_TURN_SECONDS = 0.03
 CONNECTIONS_MEASURED = 200
 SMALL_CHUNKS = b"1\r\nx\r\n" * 20_000
@@ -237,6 +238,25 @@
     run_in_process(scenario)
 
 
+# Guards against workers that a list names and the account of memory does not have.
+def test_the_budget_has_memory_for_the_workers_of_the_last_list(run_in_process):
+    hosts = [
+        {"host": f"s{number}", "dial": f"127.0.0.1:{number + 1}", "health": "terminating"}
+        for number in range(LISTED_WORKERS)
+    ]
+
+    async def scenario(harness):
+        request = await harness.discovery.requests.get()
+        before = harness.program.listener.budget.clients
+        request.send(encode_listing_response(2, hosts))
+        expected = ResourceBudget(1024, 48, LISTED_WORKERS + 1)
+        await wait_until(lambda: harness.program.listener.budget.clients != before)
+        assert harness.program.listener.budget.clients == expected.clients < before
+        assert harness.program.workers.max_connections == expected.workers
+
+    run_in_process(scenario, more={"limits": {"cores": 1.0, "memory_mb": 48, "sockets": 1024}})
+
+
 # Guards against the body of a large job that is kept, for as long as its worker hangs, once its client left.
 def test_the_body_of_a_job_is_dropped_when_its_client_leaves(run_in_process):
     async def scenario(harness):
