Workers, discovery: the fields of a response are bounded as those of a request are

Related path of the costly requests: a worker's head or trailer of thousands of short fields took h11 as long (12 ms for 16 KB), and was parsed at once. Such a response counts as invalid now: a reset for a hand-off, a failed call for discovery. The check stands in protocol/field_limit.py, which clients, workers and discovery share; the code of the clients' side moved there. Six cases of tests/test_protocol.py failed before.

--- a/heronwinch/protocol/clients.py
+++ b/heronwinch/protocol/clients.py
@@ -13,20 +13,18 @@
 
 from heronwinch.interface import SECOND
 from heronwinch.protocol.buffer import Buffer, BufferLimitError
+from heronwinch.protocol.field_limit import HEAD_END_PATTERN, MAX_FIELDS, FieldLimit, TooManyFieldsError
 from heronwinch.protocol.http_client import MAX_BODY_BYTES, MAX_HEAD_BYTES, release_frames
 
 ID_PATTERN = re.compile(rb"[0-9A-Za-z._~:-]{1,128}")
 TICKET_PATTERN = re.compile(rb"[!-~]{1,256}")
 # Stricter than float(), which also accepts nan, 1_0 and " 7".
 NUMBER_PATTERN = re.compile(r"[0-9]{1,15}(\.[0-9]*)?([eE][-+]?[0-9]{1,2})?")
-HEAD_END_PATTERN = re.compile(rb"\n\r?\n")
 CONTENT_LENGTH_PATTERN = re.compile(rb"^content-length[ \t]*:(.*)$", re.IGNORECASE | re.MULTILINE)
-LAST_CHUNK_PATTERN = re.compile(rb"(\r?\n)?0+[ \t]*(;[^\n]*)?\r?\n")  # after the end of the chunk before
 FOLDED_HEADER_PATTERN = re.compile(rb"\n[ \t]")
 UNREPEATABLE_HEADERS = (b"req-id", b"req-deadline", b"idempotency-key", b"req-extra", b"req-retry", b"expect")
 MAX_DEADLINE_SECONDS = 86_400  # the highest value of Req-Deadline
 # Limits of the parts of a request, as the time to parse one goes by their number rather than by its bytes.
-MAX_FIELDS = 100  # of the head, and of the trailer
 MAX_BODY_CHUNKS = 4096
 MAX_QUERY_PARAMETERS = 100
 MAX_EXTRA_FIGURES = 32
@@ -116,24 +114,16 @@
     status = 413
 
 
-class TooManyFieldsError(BadRequestError):
-    """The head or the trailer has more than MAX_FIELDS fields."""
-
-    status = 431
-
-
 class ClientProtocol:
     """The server's state machine for one client connection. `rules` may be replaced at any time."""
 
     def __init__(self, rules):
         self.rules = rules
         self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.field_limit = FieldLimit()
         self.body = Buffer(MAX_BODY_BYTES)
         self.pending_request = None  # the request whose head was received, until it is answered
         self.received_bytes = 0  # since the last answer
-        self.is_chunked = False  # whether the body of the pending request comes in chunks
-        self.is_in_chunk = False  # whether a chunk has begun and not ended
-        self.is_in_trailer = False  # whether the last chunk has been received
         self.chunk_count = 0  # pieces in which the body of the pending request has been parsed so far
         # Line feeds received since the last answer; more than the lines of the head if a body came with it.
         self.line_count = 0
@@ -181,13 +171,12 @@
                     break
                 parser_event_count += 1
                 head = self._read_unparsed_head() if self.pending_request is None else b""
-                self._check_trailer()
+                self.field_limit.check_trailer(self.h11)
                 event = self.h11.next_event()
                 kind = type(event)
                 if kind is h11.Request:
                     self.pending_request = _parse_head(event, head, self.rules)
-                    self.is_chunked = any(name == b"transfer-encoding" for name, _ in event.headers)
-                    self.is_in_chunk = self.is_in_trailer = False
+                    self.field_limit.begin_body(event)
                     if self.h11.they_are_waiting_for_100_continue:
                         interim = h11.InformationalResponse(status_code=100, headers=[], reason=b"Continue")
                         events.append(ContinueResponse(self.h11.send(interim)))
@@ -202,31 +191,23 @@
             events.append(self._reject(error.error_status_hint, str(error)))
         except BufferLimitError as error:
             events.append(self._reject(413, str(error)))
+        except TooManyFieldsError as error:
+            events.append(self._reject(431, str(error)))
         except BadRequestError as error:
             events.append(self._reject(error.status, str(error)))
         return events
 
     def _read_unparsed_head(self):
         """Returns what has been received of the next request's head. Raises TooManyFieldsError."""
-        head = HEAD_END_PATTERN.split(self.h11.trailing_data[0], maxsplit=1)[0]
-        if self.line_count > MAX_FIELDS and head.count(b"\n") > MAX_FIELDS:
-            raise TooManyFieldsError(f"over {MAX_FIELDS} fields")
-        return head
-
-    def _check_trailer(self):
-        """Raises TooManyFieldsError if the trailer of a chunked body has too many fields, as far as it has
-        come: h11 parses it in one step."""
-        if not self.is_chunked or self.is_in_chunk:
-            return
         unparsed = self.h11.trailing_data[0]
-        self.is_in_trailer = self.is_in_trailer or LAST_CHUNK_PATTERN.match(unparsed) is not None
-        if self.is_in_trailer and unparsed.count(b"\n") > MAX_FIELDS + 2:  # the lines round the fields
-            raise TooManyFieldsError(f"over {MAX_FIELDS} fields in the trailer")
+        if self.line_count > MAX_FIELDS:
+            self.field_limit.check_head(unparsed)
+        return HEAD_END_PATTERN.split(unparsed, maxsplit=1)[0]
 
     def _add_to_body(self, data_event):
         """Adds a part of the body. Raises BadRequestError if it comes in too many chunks."""
         self.chunk_count += data_event.chunk_start
-        self.is_in_chunk = not data_event.chunk_end
+        self.field_limit.note_data(data_event)
         if self.chunk_count > MAX_BODY_CHUNKS:
             raise BadRequestError(f"over {MAX_BODY_CHUNKS} chunks")
         self.body.add(data_event.data)
@@ -240,7 +221,7 @@
         data = send(h11.Response(status_code=status, headers=headers, reason=REASON_PHRASES.get(status, b"")))
         data += (send(h11.Data(data=body)) if body else b"") + send(h11.EndOfMessage())
         self.has_unanswered_request, self.pending_request = False, None
-        self.is_chunked = False
+        self.field_limit.end_message()
         self.received_bytes = self.chunk_count = self.line_count = 0
         if not self.is_broken and self.h11.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             self.h11.start_next_cycle()
--- a/heronwinch/protocol/http_client.py
+++ b/heronwinch/protocol/http_client.py
@@ -4,6 +4,8 @@
 
 import h11
 
+from heronwinch.protocol.field_limit import FieldLimit, TooManyFieldsError
+
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
 
@@ -43,6 +45,7 @@
     def __init__(self, host=b"backend.local"):
         self.host = host
         self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.field_limit = FieldLimit()
 
     def encode_request(self, method, target, headers=(), body=b""):
         """Returns the bytes of a request. The response to the one before has to be complete."""
@@ -63,11 +66,7 @@
         Raises InvalidResponseError if the bytes are not a response."""
         self.h11.receive_data(data)
         while True:
-            try:
-                event = self.h11.next_event()
-            except h11.RemoteProtocolError as error:
-                release_frames(error)
-                raise InvalidResponseError(str(error)) from None
+            event = self._parse_event()
             kind = type(event)
             if kind is h11.Response:
                 yield ResponseHead(event.status_code, dict(event.headers))
@@ -79,6 +78,26 @@
             elif kind is not h11.InformationalResponse:
                 return  # h11 needs more data, or the connection has ended
 
+    def _parse_event(self):
+        """Returns h11's next event. Raises InvalidResponseError."""
+        try:
+            if self.h11.their_state is h11.SEND_RESPONSE:
+                self.field_limit.check_head(self.h11.trailing_data[0])
+            self.field_limit.check_trailer(self.h11)
+            event = self.h11.next_event()
+        except h11.RemoteProtocolError as error:
+            release_frames(error)
+            raise InvalidResponseError(str(error)) from None
+        except TooManyFieldsError as error:
+            raise InvalidResponseError(str(error)) from None
+        if type(event) is h11.Response:
+            self.field_limit.begin_body(event)
+        elif type(event) is h11.Data:
+            self.field_limit.note_data(event)
+        elif type(event) is h11.EndOfMessage:
+            self.field_limit.end_message()
+        return event
+
     @property
     def is_response_complete(self):
         """Whether no more of the response is expected."""
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -50,11 +50,6 @@
     return [event for chunk_data in chunks for event in protocol.feed_data(chunk_data)]
 
 
-def split(data, piece_bytes):
-    """Returns the data in pieces of so many bytes."""
-    return [data[start : start + piece_bytes] for start in range(0, len(data), piece_bytes)]
-
-
 def test_buffer_is_bounded_and_returns_only_whole_lines():
     buffer = Buffer(10)
     buffer.add(b"one\ntwo")
@@ -237,7 +232,7 @@
 @pytest.mark.parametrize("piece_bytes", [1, 7, 4096])
 def test_a_trailer_of_very_many_fields_is_rejected_before_it_is_complete(piece_bytes):
     protocol, data = ClientProtocol(ADMISSION_RULES), CHUNKED_HEAD + b"0\r\n" + b"a:\r\n" * 3000
-    events = feed_all(protocol, *split(data, piece_bytes))
+    events = feed_all(protocol, *split_data(data, piece_bytes))
     assert [event.status for event in events] == [431]
 
 
@@ -248,12 +243,12 @@
 def test_bodies_of_very_many_lines_are_accepted(body, chunk_bytes, piece_bytes):
     if chunk_bytes:
         data = CHUNKED_HEAD + b"".join(
-            b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in split(body, chunk_bytes)
+            b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in split_data(body, chunk_bytes)
         )
         data += b"0\r\nA: 1\r\n\r\n"
     else:
         data = build_request(b"Content-Length: %d" % len(body), body=body)
-    (job,) = feed_all(ClientProtocol(ADMISSION_RULES), *split(data, piece_bytes))
+    (job,) = feed_all(ClientProtocol(ADMISSION_RULES), *split_data(data, piece_bytes))
     assert job.body == body
 
 
@@ -327,6 +322,20 @@
     )
 
 
+# Guards against responses that cost much more processor time than others of their size.
+@pytest.mark.parametrize("size", [1, 4096])
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 1000, id="half a head"),
+        pytest.param(RESPONSE_HEAD[:-2] + b"a:\r\n" * 1000 + b"\r\n", id="head"),
+        pytest.param(RESPONSE_HEAD + encode_chunk(b"\n") + b"0\r\n" + b"a:\r\n" * 1000, id="half a trailer"),
+    ],
+)
+def test_a_response_of_very_many_fields_is_a_reset(data, size):
+    assert feed_all(start_hand_off(), *split_data(data, size)) == [Completion(Outcome.RESET)]
+
+
 def build_response(status, *headers):
     return b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n%s\r\n" % (status, b"".join(h + b"\r\n" for h in headers))
 
