Stop: failing test for signals in series, which kill a process that is about to exit

A second SIGTERM, SIGINT or SIGHUP in the last milliseconds, after the event loop has taken back its handlers, has its default effect.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -424,3 +424,21 @@
             writer.close()
 
     run_simulated(scene)
+
+
+SIGNAL_INTERVAL_SECONDS = 0.002  # less than a process takes to exit
+
+
+# Guards against a process that a further signal kills when its stop is over and it is about to exit.
+@pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGHUP, signal.SIGINT])
+def test_signals_in_series_up_to_the_end_of_a_stop_do_not_kill_the_process(run_on_sockets, signal_number):
+    async def scene(s):
+        assert (await s.send_job())[0] == 200
+        s.process.terminate()
+        while s.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(s.process.pid, signal_number)  # send_signal() may take the exit status away
+            await asyncio.sleep(SIGNAL_INTERVAL_SECONDS)
+        assert s.process.returncode == 0
+
+    run_on_sockets(scene)
