Stop: signals that come between the end of a stop and the exit do not kill the process

What callers saw: a node's process ended by itself, after a stop that had answered all. Cause: asyncio takes back the signal handlers when its loop closes, some 10 ms before the interpreter has gone; a further SIGTERM, SIGINT or SIGHUP then has its default effect. Change: the three are blocked from the end of the stop on; they have nothing left to say to this process.

--- a/heronwinch/start.py
+++ b/heronwinch/start.py
@@ -17,6 +17,8 @@
 from heronwinch.policy import Dispatcher
 from heronwinch.program import Program, StartupError
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 def serve():
     """Runs one dispatcher until it stops, and returns the exit status: 0 after an orderly stop, 1 where the
@@ -56,3 +58,6 @@
     await Program(
         config, Machine(), Dispatcher, lambda: read_config(os.environ, is_reload=True), has_missed_reload
     ).run()
+    # The event loop takes back its handlers when it closes. A signal after that would kill the process, which
+    # has stopped in order and is about to exit.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
