Log: the line resources tells timers, known workers and the memory in use now

The evidence had no figure of memory. The peak alone, which the line had, does not tell growth from a moment's need; the number of timers is what grew without end.

--- a/heronwinch/net/machine.py
+++ b/heronwinch/net/machine.py
@@ -163,6 +163,15 @@
         """Returns RecentIds shared with the other processes that serve the same socket. Raises OSError."""
         return open_shared_ids(self.read_monotonic_clock, sock, self.get_shared_folder())
 
+    def read_memory_mb(self):
+        """Returns the amount of memory that the process has in use, in MiB; 0 if the system does not tell."""
+        try:
+            with open("/proc/self/statm", encoding="ascii") as file:
+                resident_pages = int(file.read().split()[1])
+        except (OSError, ValueError, IndexError):
+            return 0
+        return resident_pages * resource.getpagesize() // 2**20
+
     def read_peak_memory_mb(self):
         """Returns the largest amount of memory that the process has had in use so far, in MiB."""
         return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
--- a/heronwinch/rehearsal/simulation/process.py
+++ b/heronwinch/rehearsal/simulation/process.py
@@ -271,6 +271,9 @@
     def make_private_ids(self):
         return make_private_ids(lambda: self.process.kernel.now)
 
+    def read_memory_mb(self):
+        return 0  # memory is not simulated
+
     def read_peak_memory_mb(self):
         return 0  # memory is not simulated
 
--- a/tests/test_diagnostics.py
+++ b/tests/test_diagnostics.py
@@ -156,7 +156,8 @@
         assert len(lines) == 1 and "why=bad_request status=400" in lines[0] and " client=" in lines[0]
         resources = [line for line in harness.logged if "event=resources" in line]
         assert all(
-            f" {name}=" in resources[-1] for name in ("clients", "peak_memory_mb", "loop_late_ms", "ids")
+            f" {name}=" in resources[-1]
+            for name in ("clients", "memory_mb", "peak_memory_mb", "loop_late_ms", "ids", "timers", "workers")
         )
 
     run_simulated(scenario)
