Stand-ins: a worker answers jobs that end while it answers another one

Traced by the stand-in's events: its worker had two jobs 1 ms apart; while "done" of the first was written, building its report brought the model past the end of the second, whose event then stayed in the list until the worker was asked for something else (0.52 s later). Not the program. Fixed in the stand-in, which rehearsals on real processes use too, so hand-over and power tests that failed now and then may have met it; that is not shown.

--- a/heronwinch/rehearsal/standins/worker.py
+++ b/heronwinch/rehearsal/standins/worker.py
@@ -143,11 +143,12 @@
                 if not exchange.over:
                     self.handle_request(exchange)
             model.advance_to(now)
-        due_events, model.events = model.events, []
-        for run, event, figure in due_events:
-            exchange = self.exchanges.get(run)
-            if exchange is not None:
-                self._send_event(run, exchange, event, figure)
+        while model.events:  # while these are sent, which takes time, further ones may come about
+            due_events, model.events = model.events, []
+            for run, event, figure in due_events:
+                exchange = self.exchanges.get(run)
+                if exchange is not None:
+                    self._send_event(run, exchange, event, figure)
         if model.has_collapsed:
             self.on_collapse()
             return
