--- a/review/common_2/case.py
+++ b/review/common_2/case.py
@@ -56,6 +56,7 @@
 
     def __init__(self, record, folder, config, listen_socket=None):
         self.record, self.folder, self.config = record, folder, config
+        self.name = config["name"]
         self.port = find_free_port() if listen_socket is None else listen_socket.getsockname()[1]
         self.mgmt_port = find_free_port()
         self.listen_socket = listen_socket
--- a/review/common_2/cold.py
+++ b/review/common_2/cold.py
@@ -47,6 +47,10 @@
     def is_cold(self):
         return self.born_ms > 0 and self.age < self.rules.warm_seconds
 
+    def compute_requests(self, request):
+        """The work of a job in requests of mean work."""
+        return 1.0
+
     def compute_run_seconds(self, request):
         return self.run_seconds / (self.rules.compute_capacity(self.age) if self.is_cold else 1.0)
 
@@ -56,22 +60,25 @@
             raise EOFError
         if self.is_cold and not self.declines:
             now = self.clock()
-            self.recent = [at for at in self.recent if at > now - self.rules.window_seconds] + [now]
+            begin = now - self.rules.window_seconds
+            self.recent = [sent for sent in self.recent if sent[0] > begin]
+            self.recent.append((now, self.compute_requests(request)))
+            requests = sum(count for _, count in self.recent)
             limit = self.rules.compute_limit(self.age, self.slots)
-            self.highest_share = max(self.highest_share, len(self.recent) / limit)
-            if len(self.recent) > limit:
-                self.fall(request, limit)
+            self.highest_share = max(self.highest_share, requests / limit)
+            if requests > limit:
+                self.fall(request, requests, limit)
                 raise EOFError
         await super().take_job(request, reader, writer)
 
-    def fall(self, request, limit):
+    def fall(self, request, requests, limit):
         """Falls over and stays down; all that it holds is lost."""
         self.fallen = True
         self.record.add(
             "fell",
             worker=self.host,
             id=request.headers.get("req-id"),
-            requests=len(self.recent),
+            requests=requests,
             limit=round(limit, 2),
             age=round(self.age, 2),
             held=self.held,
--- a/review/common_2/standins.py
+++ b/review/common_2/standins.py
@@ -74,7 +74,9 @@
             async with self.free_slots:
                 self.running += 1
                 try:
-                    self.record.add("run", worker=self.host, id=id, key=request.headers.get("idempotency-key"))
+                    self.record.add(
+                        "run", worker=self.host, id=id, key=request.headers.get("idempotency-key")
+                    )
                     await asyncio.sleep(self.compute_run_seconds(request))
                 finally:
                     self.running -= 1
