--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,101 +1,164 @@
-"""Case 7: a worker that has just started is pushed over by the first burst after a quiet time."""
+"""Case 7: a new category in the settings stops all work of the others for as long as nobody uses it."""
 
 import asyncio
+import json
 import pathlib
+import signal
 import sys
+from random import Random
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from common_2.case import build_config, run_case  # noqa: E402
-from common_2.cold import StartingWorker, StartRules  # noqa: E402
-from common_2.standins import Client, Discovery  # noqa: E402
+from common_2.standins import Client, Discovery, Worker  # noqa: E402
 
 SECOND = 1_000_000_000
-# Figures of the brief of the release distribution workers.
-WORK_SECONDS = 1.2  # embargo-release: 740 to 1,400 ms of running on average
-EXPIRY_SECONDS = 12.0
-SLOTS = 4
-RULES = StartRules(
-    start_share=0.12, warm_seconds=24.0, multiple=2.5, window_seconds=3.0, mean_work=WORK_SECONDS
-)
-CATEGORIES = [
-    {
-        "name": "embargo-release",
-        "effect": "fragile",
-        "due_time_ns": 300_000_000,
+# Figures of the brief of the subscriber portal.
+EXPIRY_SECONDS = {"link-report": 10.0, "account-page": 5.0, "antenna-swap": 10.0}
+RUN_SECONDS = {"link-report": 0.9, "account-page": 0.45, "antenna-swap": 0.9}
+JOBS_PER_SECOND = 14.0  # about 0.85 of what the workers can do
+WORKERS, SLOTS, WAITING = 4, 3, 1  # a worker with so many jobs waiting turns further ones away
+BEFORE_SECONDS, UNUSED_SECONDS, AFTER_SECONDS = 12.0, 20.0, 4.0
+WEIGHTS_SECONDS = 1.0  # the list's weights are renewed every 650 to 1,600 ms
+# At most one dispatcher in ten may reject all that it gets, so many jobs or more, for so long.
+REJECTED_JOBS, REJECTED_SECONDS = 15, 4.0
+
+
+def make_category(name, credit):
+    return {
+        "name": name,
+        "effect": "retryable",
+        "due_time_ns": 400_000_000,
         "aim_stretch": 1.75,
-        "expiry_ns": int(EXPIRY_SECONDS * SECOND),
-        "credit": 5.0,
+        "expiry_ns": int(EXPIRY_SECONDS[name] * SECOND),
+        "credit": credit,
         "late_credit": 0.2,
     }
-]
-WORKERS = 3
-QUIET_SECONDS = 5.0  # between the start of the dispatcher and the burst
-TOLD_BEFORE_SECONDS = 0.5  # the dispatcher is told of the worker's start so long before the burst
-JOBS = 36
-BURST_SECONDS = 1.0
+
+
+class Node(Worker):
+    """A portal node: its queue is short, and it turns away what does not fit."""
+
+    random = Random(7)
+
+    async def take_job(self, request, reader, writer):
+        self.declines = self.held >= self.slots + WAITING
+        await super().take_job(request, reader, writer)
+
+    def compute_run_seconds(self, request):
+        return RUN_SECONDS[request.path.strip("/")] * self.random.uniform(0.4, 1.6)
+
+    def load(self):
+        return {"x0": self.slots - self.running, "util": round(self.running / self.slots, 2)}
+
+    def entry(self):
+        """The weight is the nominal size, lowered the more jobs it holds."""
+        return super().entry() | {"share": round(self.slots / (1 + self.held / self.slots), 3)}
+
+
+class Traffic:
+    """Jobs at even distances until it is stopped: three of five are link reports."""
+
+    def __init__(self, case, port):
+        self.case, self.port = case, port
+        self.jobs, self.number, self.stopped = [], 0, False
+
+    async def run(self):
+        while not self.stopped:
+            self.number += 1
+            category = "link-report" if self.number % 5 < 3 else "account-page"
+            self.hand_in(category)
+            await asyncio.sleep(1 / JOBS_PER_SECOND)
+
+    def hand_in(self, category):
+        self.jobs.append(asyncio.create_task(self._send(category, f"job{len(self.jobs):04d}")))
+
+    async def _send(self, category, id):
+        client = Client(self.case.clock, self.case.record, self.port)
+        await client.post(category, id, EXPIRY_SECONDS[category])
+        client.close()
+
+
+async def renew_weights(discovery, workers, traffic):
+    while not traffic.stopped:
+        discovery.publish([worker.entry() for worker in workers])
+        await asyncio.sleep(WEIGHTS_SECONDS)
 
 
 async def main(case):
     discovery = await Discovery(case.clock, case.record).start()
-    workers = [StartingWorker(case.clock, case.record, f"s-{i}", SLOTS, WORK_SECONDS) for i in range(WORKERS)]
+    workers = [Node(case.clock, case.record, f"s-{i}", SLOTS) for i in range(WORKERS)]
     case.servers += [discovery, *workers]
     for worker in workers:
-        worker.rules = RULES
         await worker.start()
         discovery.list_worker(worker)
     config = build_config(
         discovery.port,
-        CATEGORIES,
-        invariants__start_capacity=RULES.start_share,
-        invariants__warm_up_ns=int(RULES.warm_seconds * SECOND),
-        invariants__overload_factor=RULES.multiple,
-        invariants__tip_after_ns=int(RULES.window_seconds * SECOND),
-        invariants__drain_grace_ns=250_000_000,
-        limits__most_hand_offs=3,
+        [make_category("link-report", 3.0), make_category("account-page", 1.0)],
+        discovery="pushed",
+        weights="live",
+        invariants__start_capacity=0.12,
+        invariants__warm_up_ns=23 * SECOND,
+        invariants__overload_factor=2.5,
+        invariants__tip_after_ns=3 * SECOND,
+        invariants__drain_grace_ns=2_500_000_000,
+        limits__probes=False,
+        limits__most_hand_offs=5,
+        limits__parallel_tries=True,
+        limits__may_cancel=False,
     )
+    config["settings"]["load_info"]["fields"] = ["x0", "cpu_share"]
     dispatcher = case.make_dispatcher(config)
     await dispatcher.start()
-    await asyncio.sleep(QUIET_SECONDS - TOLD_BEFORE_SECONDS)
-    if case.trouble:
-        workers[0].start_anew()
-        discovery.list_worker(workers[0])
-    await asyncio.sleep(TOLD_BEFORE_SECONDS)
-    await asyncio.gather(*(hand_in(case, dispatcher.port, number) for number in range(JOBS)))
-    return list_breaches(case, workers)
-
-
-async def hand_in(case, port, number):
-    await asyncio.sleep(number * BURST_SECONDS / JOBS)
-    client = Client(case.clock, case.record, port)
-    await client.post("embargo-release", f"job{number:03d}", EXPIRY_SECONDS)
-    client.close()
-
-
-def list_breaches(case, workers):
-    began = {line["worker"]: line["t"] for line in case.record.find("started anew")}
-    told = [
-        worker.host
-        for worker in workers
-        if any(
-            worker.host == host and line["t"] >= began.get(host, case.clock())
-            for line in case.record.find("told")
-            for host, _ in line["hosts"]
-        )
+    await asyncio.sleep(1.5)
+    traffic = Traffic(case, dispatcher.port)
+    tasks = [
+        asyncio.create_task(traffic.run()),
+        asyncio.create_task(renew_weights(discovery, workers, traffic)),
     ]
-    lost = [line["id"] for line in case.record.find("answered") if line["status"] not in (200, 503)]
+    await asyncio.sleep(BEFORE_SECONDS)
+    if case.trouble:
+        config = json.loads(json.dumps(dispatcher.config))
+        config["settings"]["categories"].append(make_category("antenna-swap", 3.0))
+        config["settings"]["family_info"]["class_stretch"].append(1.25)
+        dispatcher.write_config(config)
+        dispatcher.signal(signal.SIGHUP)
+    await asyncio.sleep(UNUSED_SECONDS)
+    if case.trouble:
+        traffic.hand_in("antenna-swap")  # the first clients use the new category
+    await asyncio.sleep(AFTER_SECONDS)
+    traffic.stopped = True
+    await asyncio.gather(*tasks, *traffic.jobs)
+    if dispatcher.process.returncode is not None:
+        return [f"the dispatcher ended by itself with {dispatcher.process.returncode}"]
+    return list_breaches(case)
+
+
+def list_breaches(case):
+    """Spans in which all that was answered was rejected, with no attempt in between."""
+    attempts = [line["t"] for line in case.record.find("attempt")]
+    answers = case.record.find("answered")
+    breaches = []
+    for begin, end in zip(attempts, attempts[1:], strict=False):
+        served = [line["t"] for line in answers if begin <= line["t"] < end and line["status"] != 503]
+        begin = max([begin, *served])
+        rejected = [line for line in answers if begin < line["t"] < end]
+        if end - begin >= REJECTED_SECONDS and len(rejected) >= REJECTED_JOBS:
+            breaches.append(
+                f"from {begin:.1f} s to {end:.1f} s the dispatcher rejected all of {len(rejected)} jobs "
+                "and attempted none"
+            )
+    declined = case.record.find("declined")
     case.record.add(
         "sum",
-        attempts={worker.host: len(case.record.find("attempt", worker=worker.host)) for worker in workers},
-        highest_share={worker.host: round(worker.highest_share, 2) for worker in workers},
-        without_result=len(lost),
+        declined=len(declined),
+        answers={
+            str(status): sum(line["status"] == status for line in answers)
+            for status in {line["status"] for line in answers}
+        },
+        attempts=len(attempts),
     )
-    return [
-        f"{worker.host}, of whose start the only dispatcher had been told, fell over; "
-        f"{len(lost)} jobs have no result"
-        for worker in workers
-        if worker.fallen and worker.host in told
-    ]
+    return breaches
 
 
 if __name__ == "__main__":
--- a/review/common_2/standins.py
+++ b/review/common_2/standins.py
@@ -66,6 +66,7 @@
             key=request.headers.get("idempotency-key"),
         )
         if self.declines:
+            self.record.add("declined", worker=self.host, id=id)
             await self.decline(writer)
             return
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -117,13 +118,18 @@
     def list_worker(self, worker, health=None):
         """Publishes a worker's present entry."""
         entry = worker.entry() | ({"health": health} if health else {})
+        self.record.add("list", worker=worker.host, health=entry["health"])
+        self.publish([entry])
+
+    def publish(self, entries):
+        """Publishes changed entries, and answers the watches."""
         self.seq += 1
-        self.changes.append((self.seq, entry))
-        if entry["health"] == "terminated":
-            self.entries.pop(worker.host, None)
-        else:
-            self.entries[worker.host] = entry
-        self.record.add("list", seq=self.seq, worker=worker.host, health=entry["health"])
+        for entry in entries:
+            self.changes.append((self.seq, entry))
+            if entry["health"] == "terminated":
+                self.entries.pop(entry["host"], None)
+            else:
+                self.entries[entry["host"]] = entry
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
