--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from common_2.case import build_config, run_case  # noqa: E402
+from common_2.rules import list_rejecting_spans  # noqa: E402
 from common_2.standins import Client, Discovery, Worker  # noqa: E402
 
 SECOND = 1_000_000_000
@@ -20,8 +21,6 @@
 WORKERS, SLOTS, WAITING = 4, 3, 1  # a worker with so many jobs waiting turns further ones away
 BEFORE_SECONDS, UNUSED_SECONDS, AFTER_SECONDS = 12.0, 20.0, 4.0
 WEIGHTS_SECONDS = 1.0  # the list's weights are renewed every 650 to 1,600 ms
-# At most one dispatcher in ten may reject all that it gets, so many jobs or more, for so long.
-REJECTED_JOBS, REJECTED_SECONDS = 15, 4.0
 
 
 def make_category(name, credit):
@@ -135,30 +134,14 @@
 
 
 def list_breaches(case):
-    """Spans in which all that was answered was rejected, with no attempt in between."""
-    attempts = [line["t"] for line in case.record.find("attempt")]
-    answers = case.record.find("answered")
-    breaches = []
-    for begin, end in zip(attempts, attempts[1:], strict=False):
-        served = [line["t"] for line in answers if begin <= line["t"] < end and line["status"] != 503]
-        begin = max([begin, *served])
-        rejected = [line for line in answers if begin < line["t"] < end]
-        if end - begin >= REJECTED_SECONDS and len(rejected) >= REJECTED_JOBS:
-            breaches.append(
-                f"from {begin:.1f} s to {end:.1f} s the dispatcher rejected all of {len(rejected)} jobs "
-                "and attempted none"
-            )
-    declined = case.record.find("declined")
+    answers = [line["status"] for line in case.record.find("answered")]
     case.record.add(
         "sum",
-        declined=len(declined),
-        answers={
-            str(status): sum(line["status"] == status for line in answers)
-            for status in {line["status"] for line in answers}
-        },
-        attempts=len(attempts),
+        declined=len(case.record.find("declined")),
+        answers={str(status): answers.count(status) for status in sorted(set(answers), key=str)},
+        attempts=len(case.record.find("attempt")),
     )
-    return breaches
+    return list_rejecting_spans(case.record)
 
 
 if __name__ == "__main__":
