--- a/review/common_2/case.py
+++ b/review/common_2/case.py
@@ -54,12 +54,11 @@
 class Dispatcher:
     """The project's dispatcher, started by the line `run` of the deploy file."""
 
-    def __init__(self, record, folder, config, listen_socket=None):
+    def __init__(self, record, folder, config):
         self.record, self.folder, self.config = record, folder, config
         self.name = config["name"]
-        self.port = find_free_port() if listen_socket is None else listen_socket.getsockname()[1]
+        self.port = find_free_port()
         self.mgmt_port = find_free_port()
-        self.listen_socket = listen_socket
         self.process = None
         self.path = folder / "config.json"
 
@@ -70,7 +69,7 @@
         path.write_text(json.dumps(self.config), encoding="utf-8")
         os.replace(path, self.path)
 
-    async def start(self, log_name="dispatcher.log"):
+    async def start(self):
         self.config |= {"listen": f"127.0.0.1:{self.port}", "mgmt": f"127.0.0.1:{self.mgmt_port}"}
         self.write_config()
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text(encoding="utf-8"))["run"]
@@ -85,13 +84,9 @@
             "RELAY_MGMT": f"127.0.0.1:{self.mgmt_port}",
             "TMPDIR": str(temporary),
         }
-        inherited = ()
-        if self.listen_socket is not None:
-            environ["RELAY_LISTEN_FD"] = str(self.listen_socket.fileno())
-            inherited = (self.listen_socket.fileno(),)
-        with open(self.folder / log_name, "ab") as log:
+        with open(self.folder / "dispatcher.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", run, cwd=ROOT, env=environ, stderr=log, stdout=log, pass_fds=inherited
+                "/bin/sh", "-c", run, cwd=ROOT, env=environ, stderr=log, stdout=log
             )
         await self._wait_until_ready()
         return self
@@ -141,6 +136,8 @@
         status = BROKEN if breaches else HELD
     except CaseError as error:
         case.record.add("not run", why=str(error))
+    except asyncio.CancelledError:
+        case.record.add("not run", why="told to end")
     except Exception:
         case.record.add("not run", why=traceback.format_exc())
     case.record.add("verdict", status=status)
@@ -165,6 +162,7 @@
     async def run(self, main):
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             self.temporary = pathlib.Path(temporary)
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
             try:
                 async with asyncio.timeout(110):
                     return await main(self)
@@ -179,10 +177,10 @@
                     for log in self.temporary.glob("**/*.log"):
                         print(log.read_text(encoding="utf-8", errors="replace"))
 
-    def make_dispatcher(self, config, name="d0", listen_socket=None):
+    def make_dispatcher(self, config, name="d0"):
         folder = self.temporary / f"{name}-{len(self.dispatchers)}"
         folder.mkdir()
-        dispatcher = Dispatcher(self.record, folder, config | {"name": name}, listen_socket)
+        dispatcher = Dispatcher(self.record, folder, config | {"name": name})
         self.dispatchers.append(dispatcher)
         return dispatcher
 
--- a/review/common_2/rules.py
+++ b/review/common_2/rules.py
@@ -1,4 +1,4 @@
-"""Rules of the operators' pages that more than one case checks."""
+"""The rule of the operators' pages on dispatchers that reject all that they get."""
 
 # At most one dispatcher in ten may reject all that it gets, so many jobs or more, for so long.
 REJECTED_JOBS, REJECTED_SECONDS = 15, 4.0
--- a/review/common_2/standins.py
+++ b/review/common_2/standins.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from common_2.http import Server, encode_request, encode_response, read_response, reset
+from common_2.http import Server, encode_request, encode_response, read_response
 
 
 class Worker(Server):
@@ -104,7 +104,7 @@
 
 
 class Discovery(Server):
-    """Discovery: the whole list, and watches. `down`, `refuses` and `silent` are its troubles."""
+    """Discovery: the whole list, and watches."""
 
     def __init__(self, clock, record, seq=40):
         super().__init__(clock)
@@ -112,8 +112,6 @@
         self.entries = {}  # host -> entry
         self.changes = []  # (seq, entry)
         self.changed = asyncio.Event()
-        self.mode = "up"  # "refuse": 503 to each call; "silent": no call is answered
-        self.call_count = 0
 
     def list_worker(self, worker, health=None):
         """Publishes a worker's present entry."""
@@ -137,15 +135,7 @@
         return {"seq": self.seq, "whole": True, "hosts": list(self.entries.values())}
 
     async def handle(self, request, reader, writer):
-        self.call_count += 1
-        self.record.add("call", target=request.target, mode=self.mode)
-        if self.mode == "refuse":
-            writer.write(encode_response(503))
-            await writer.drain()
-            return
-        if self.mode == "silent":
-            await reader.read()
-            return
+        self.record.add("call", target=request.target)
         query = request.query
         if "index" not in query:
             await self._answer(writer, self.build_whole())
@@ -156,9 +146,6 @@
                 await asyncio.wait_for(self.changed.wait(), max(0.0, end - self.clock()))
             except TimeoutError:
                 break
-        if self.mode == "silent":
-            await reader.read()
-            return
         newest = {entry["host"]: entry for seq, entry in self.changes if seq > index}
         await self._answer(writer, {"seq": self.seq, "whole": False, "hosts": list(newest.values())})
 
@@ -220,9 +207,3 @@
         if self.streams is not None:
             self.streams[1].close()
             self.streams = None
-
-    def leave(self):
-        """Goes away with a reset."""
-        if self.streams is not None:
-            reset(self.streams[1])
-            self.streams = None
