Log: hand-offs to workers in slow start tell what their budget rests on

The line now has mean_work_ms, samples (running times from which that of the category was learned) and slots.

--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -342,6 +342,9 @@
     requests: float  # its likely work, in requests of mean work
     recent: float  # what this dispatcher had sent within the push window, in the same unit
     own_part: float  # what it may send there in a push window
+    mean_work: int  # likely running time of the mean request times its slots, on which the budget rests
+    samples: int  # running times from which that of the work item's category was learned; 0: it is assumed
+    slots: int  # slots that the worker is taken to have
 
 
 class HandOff(NamedTuple):
--- a/heronwinch/net/diagnostics.py
+++ b/heronwinch/net/diagnostics.py
@@ -55,6 +55,9 @@
                 requests=round(note.requests, 2),
                 recent=round(note.recent, 2),
                 own_part=round(note.own_part, 2),
+                mean_work_ms=note.mean_work // 1_000_000,
+                samples=note.samples,
+                slots=note.slots,
             )
 
     def log_failed_hand_off(self, item, ho_number, host, outcome, elapsed):
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -1463,7 +1463,16 @@
         recent = worker.sent_work.sum_recent(self.now, self.terms.push_window)
         is_within_part = allowance.is_within_part(requests, recent)
         reason = SlowStartReason.PART if is_within_part else SlowStartReason.LONG
-        return SlowStartNote(reason, self._compute_age(worker), requests, recent, allowance.own_part)
+        return SlowStartNote(
+            reason,
+            self._compute_age(worker),
+            requests,
+            recent,
+            allowance.own_part,
+            int(self._estimate_mean_work()),
+            wi.category.run_samples,
+            self._estimate_min_slots(worker),
+        )
 
     def read_state(self):
         """Returns the ModuleState, for the log."""
--- a/tests/test_diagnostics.py
+++ b/tests/test_diagnostics.py
@@ -53,7 +53,7 @@
 
 
 def test_a_hand_off_to_a_worker_in_slow_start_is_logged_with_its_reason(machine, counters, item):
-    note = SlowStartNote(SlowStartReason.LONG, 2500 * MS, 3.5, 0.25, 1.0)
+    note = SlowStartNote(SlowStartReason.LONG, 2500 * MS, 3.5, 0.25, 1.0, 1200 * MS, 7, 4)
     with capture_logs() as lines:
         WorkerLog(machine, counters).log_slow_start_hand_off(item, 1, "s-1", note)
     assert lines == [
@@ -68,6 +68,9 @@
             "requests": 3.5,
             "recent": 0.25,
             "own_part": 1.0,
+            "mean_work_ms": 1200,
+            "samples": 7,
+            "slots": 4,
         }
     ]
     assert counters.counts == Counter(slow_start_long=1)
