Waits: before the first answer work no longer goes all to the one worker heard of last

Cause: Dispatcher._estimate_wait took the mean running time as 0 before the first answer, so each wait was 0, and what waited went to the worker whose report was the newest.

Now a dispatcher that asks no worker before a hand-off counts with the longest time for which a hand-off has been running.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -1306,7 +1306,26 @@
             + worker.slots_since_report
             + len(worker.alert_waiters)
         )
-        return max(0, held_slots + 1 - worker.slots) * self.mean_run_time / worker.slots
+        return max(0, held_slots + 1 - worker.slots) * self._estimate_run_time() / worker.slots
+
+    def _estimate_run_time(self):
+        """Returns the mean running time over all categories, 0 if none is learned.
+
+        A dispatcher that asks no worker before a hand-off counts with the longest time for which a hand-off
+        has been running, as the mean is hardly shorter. Guards against all that waits going to the one worker
+        that was heard of last.
+        """
+        if self.mean_run_time or not self._should_use_own_record():
+            return self.mean_run_time
+        return max(
+            (
+                self.now - ho.sent_at
+                for worker in self.ready_workers
+                for ho in worker.hand_offs_in_flight
+                if ho.is_running
+            ),
+            default=0,
+        )
 
     def _pick_after_alert(self, worker, wi):
         """Returns the worker that was asked for its busy alert if it is open, else another one or None."""
--- a/tests/test_unlearned.py
+++ b/tests/test_unlearned.py
@@ -212,6 +212,20 @@
     assert 0 < fleet.peak_share <= 1
 
 
+# Guards against work that waits at one warm worker, as it seemed to cost no time, while another one is idle.
+@pytest.mark.parametrize("due_ms", [300, 2000])
+def test_warm_workers_are_used_alike_before_the_first_answer(due_ms):
+    fleet = Fleet(make_terms((due_ms, 12_000)), make_burst(5000))
+    fleet.run(4500)
+    fleet.start_anew(1)
+    fleet.run(5300)
+    assert not fleet.workers[2].count_free_slots(fleet.now) and not fleet.workers[3].count_free_slots(
+        fleet.now
+    )
+    fleet.run(12_000)
+    assert fleet.idle_while_waiting == 0
+
+
 # Guards against a mean of the first answers alone, which are those of the shortest work.
 @pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize("warm_workers", [2, 5])
