Yielding: a category without a learned running time counts like the mean of the others

Now such a category has the mean running time over all categories, and all count alike while none is learned.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -1081,9 +1081,14 @@
         return (
             (1.0 if wi.is_within_share else self.terms.excess_credit)
             * wi.category.credit
-            / (wi.category.run_times.mean or 1.0)
+            / self._get_mean_run_time(wi.category)
         )
 
+    def _get_mean_run_time(self, category):
+        """Returns the mean running time of a category; where none is learned, that of all categories, or 1 so
+        that all count alike."""
+        return category.run_times.mean or self.mean_run_time or 1.0
+
     def _should_yield(self, wi):
         """Whether a work item leaves the slots to work of more credit, decided at random.
 
@@ -1093,7 +1098,7 @@
         """
         if not self.terms.live_weights:
             return False
-        best_rate = max(state.credit / (state.run_times.mean or 1.0) for state in self.category_states)
+        best_rate = max(state.credit / self._get_mean_run_time(state) for state in self.category_states)
         return (
             wi.yield_draw * self.rejected_share**self.terms.most_hand_offs
             > (self._compute_credit_rate(wi) / best_rate) ** 2
--- a/tests/test_unlearned.py
+++ b/tests/test_unlearned.py
@@ -278,3 +278,30 @@
     fleet.start_anew(1)
     fleet.run(12_000)
     assert 0 < fleet.peak_share <= 1
+
+
+def make_yielding_driver(rare_credit):
+    """Returns a driver in which work of a category, learned, is often rejected, and the other one is rare."""
+    terms = make_terms((400, 10_000), (400, 10_000), may_probe=False, live_weights=True)
+    usual, rare = terms.categories
+    driver = Driver(terms._replace(categories=(usual, rare._replace(credit=rare_credit))), 1)
+    driver.handle_events(after=2000)
+    driver.set_mean_run_time(900)
+    driver.dispatcher.rejected_share = 0.3
+    return driver
+
+
+def count_handed_off(driver, begins, seconds):
+    """Lets a job of the usual category arrive each half second; returns how many were handed off."""
+    for wi in range(begins, begins + 2 * seconds):
+        driver.arrive(wi, after=500)
+        for number in range(len(driver.list_tried_workers(wi))):
+            driver.answer(wi, number, driver.list_tried_workers(wi)[number], after=1, elapsed=900)
+    return sum(bool(driver.list_tried_workers(wi)) for wi in range(begins, begins + 2 * seconds))
+
+
+# Guards against review case 7: a category that was not learned counted as taking no time, so all work of the
+# others yielded to it.
+def test_work_does_not_yield_to_a_category_whose_running_time_is_not_learned():
+    driver = make_yielding_driver(rare_credit=1.0)
+    assert count_handed_off(driver, 0, seconds=1) == 2
