Yielding: what is known of rejected hand-offs ages while nothing is in flight

Where a learned category of much credit has no work, all other work may yield to it, nothing is in flight, and the share, and with it the stop, stays for as long as no work of that category comes (a driven dispatcher: for ever).

Now the share counts for half after each second in which nothing is in flight. A dispatcher that has something in flight is not affected, nor are gaps of under a second.

Test: test_work_yields_only_for_seconds_while_nothing_is_in_flight, failed before. test_work_beyond_its_accounts_share_yields sets a share of rejected hand-offs by hand and now says that they ended just then.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -301,6 +301,8 @@
         self.failed_scans = 0  # scans in a row that could hand off nothing
         self.max_weight = 1.0
         self.rejected_share = 0.0  # moving mean: the share of own hand-offs rejected as FULL
+        self.hand_offs_in_flight = 0
+        self.nothing_in_flight_since = 0  # if none is: when the last one ended
         self.bound_kinds = {state.kind for state in self.category_states}
         self.weight_change_interval = 0.0  # learned, mean time between two changes of a worker's weight
         self.token_buckets = [(TOKEN_BUCKET_SIZE, 0) for _ in terms.accounts]  # (tokens, time of last use)
@@ -728,6 +730,8 @@
         wi, worker = ho.wi, ho.worker
         wi.hand_offs.append(ho)
         wi.in_flight += 1
+        self.rejected_share = self._estimate_rejected_share()
+        self.hand_offs_in_flight += 1
         worker.hand_offs_in_flight.append(ho)
         worker.slots_in_use += wi.slots
         worker.slots_since_report += wi.slots
@@ -800,6 +804,8 @@
         ho.answered = True
         self._cancel_timer(ho)
         wi.in_flight -= 1
+        self.hand_offs_in_flight -= 1
+        self.nothing_in_flight_since = self.now
         self._record_possible_run(ho, event.outcome)
         self._learn_from_answer(ho, event)
         if wi.ended or event.ended:
@@ -1100,10 +1106,20 @@
             return False
         best_rate = max(state.credit / self._get_mean_run_time(state) for state in self.category_states)
         return (
-            wi.yield_draw * self.rejected_share**self.terms.most_hand_offs
+            wi.yield_draw * self._estimate_rejected_share() ** self.terms.most_hand_offs
             > (self._compute_credit_rate(wi) / best_rate) ** 2
         )
 
+    def _estimate_rejected_share(self):
+        """Returns the share of hand-offs that are likely to be rejected as FULL.
+
+        While none is in flight nothing tells that there is room again, so what was seen counts for half after
+        each second. Guards against all work yielding for ever to work that does not come.
+        """
+        if self.hand_offs_in_flight:
+            return self.rejected_share
+        return self.rejected_share / 2 ** min(64, (self.now - self.nothing_in_flight_since) // SECOND)
+
     def _pick_open_worker(self, wi):
         """Returns a random open worker, or None. Each open slot counts as one of the paper's servers.
 
