Slow start: what was sent before a start was told, or by another process, counts

What it was sent until then as a warm one was not recorded, and the whole part came on top. - A reload that makes the push window longer: the first part of the longer window was not recorded. - A process that replaces another one: as long as both serve each went by half, but nothing said what the other had sent, and on the other's end the whole part came at once (0.35 + 0.7 of what a worker stands, where both use all of it).

Now sent work is recorded for warm workers too, for one push window. While another process serves at the address (Terms.shares_address, set by the program), and for a window after it or after such a reload, a dispatcher keeps to the smaller part that it has after a start.

Tests: test_what_was_sent_before_a_start_was_told_counts failed before; test_processes_at_one_address_spend_a_part_of_the_budget_until_one_has_been_alone_for_a_window and test_a_push_window_that_a_reload_makes_longer_is_not_taken_to_have_been_empty use a field that is new.

--- a/heronwinch/interface.py
+++ b/heronwinch/interface.py
@@ -158,6 +158,8 @@
     probe_price: float
     connection_price: float
     listing_price: float
+    # Whether another process serves at the same address: then this one does not know all that both send.
+    shares_address: bool = False
 
 
 # ---- events
--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -736,8 +736,7 @@
         worker.slots_in_use += wi.slots
         worker.slots_since_report += wi.slots
         worker.memory_in_use += wi.memory
-        if self._is_cold(worker):
-            worker.sent_work.record(ho.sent_at, self.terms.push_window, wi.category, wi.slots)
+        worker.sent_work.record(ho.sent_at, self.terms.push_window, wi.category, wi.slots)
         if ho.is_running:
             wi.category.run_times.begin_run(ho.sent_at)
 
@@ -921,6 +920,7 @@
         """
         if len(event.terms.accounts) != len(self.token_buckets):
             self.token_buckets = [(TOKEN_BUCKET_SIZE, 0) for _ in event.terms.accounts]
+        self._adjust_record_of_sent_work(event.terms)
         self.terms = event.terms
         self._compute_divisors()
         self.usable_until = 0
@@ -936,6 +936,13 @@
             if wi.waiting_for is not None and wi.hand_offs and not self._may_hand_off_again(wi):
                 self._end_work_item(wi, self._build_final_answer(wi))
 
+    def _adjust_record_of_sent_work(self, terms):
+        """Notes since when the record of sent work is complete, as new terms are about to come into force."""
+        if terms.push_window > self.terms.push_window:
+            self.record_began_at = max(self.record_began_at, self.now - self.terms.push_window)
+        if self.terms.shares_address and not terms.shares_address:
+            self.record_began_at = self.now  # the other process has just ended
+
     def _on_fleet_view(self, event):
         """The membership view of the dispatchers changed."""
         self.fleet_view = event
@@ -1422,6 +1429,8 @@
 
     def _has_complete_record(self):
         """Whether this dispatcher knows all that it sent within the push window."""
+        if self.terms.shares_address:
+            return False
         return self.now - self.record_began_at >= self.terms.push_window
 
     def _compute_allowance(self, worker):
--- a/heronwinch/program.py
+++ b/heronwinch/program.py
@@ -148,7 +148,9 @@
         """Returns the terms for this process. All limits hold for one dispatcher, so two processes at one
         address use half of its part each."""
         terms = config.terms
-        return terms._replace(dispatchers=2 * terms.dispatchers) if self.has_overlap else terms
+        if not self.has_overlap:
+            return terms
+        return terms._replace(dispatchers=2 * terms.dispatchers, shares_address=True)
 
     def _compute_budget(self, config):
         """Returns the sockets and the memory that this process may use for clients and workers."""
--- a/tests/test_unlearned.py
+++ b/tests/test_unlearned.py
@@ -280,6 +280,22 @@
     assert 0 < fleet.peak_share <= 1
 
 
+# Guards against a worker that was sent much as a warm one in the moments before its start was told.
+def test_what_was_sent_before_a_start_was_told_counts():
+    jobs = make_burst(2000, jobs=20, run_ms=300.0, lasts_ms=4000) + make_burst(8000, jobs=80, run_ms=300.0)
+    fleet = Fleet(make_terms((300, 12_000)), jobs, slots=(8, 8))
+    fleet.run(8600)
+    fleet.start_anew(1)
+    fleet.run(9000)
+    hand_offs = [action for action in fleet.drivers[0].recorded_actions if type(action) is interface.HandOff]
+    sent = [action for action in hand_offs if action.worker == 1 and action.wi >= 20]
+    notes = [action.slow_start for action in sent if action.slow_start is not None]
+    assert len(sent) > len(notes) > 0
+    assert max(note.recent + note.requests for note in notes) >= len(sent) - 1
+    budget = PUSH_MULTIPLE * fleet.workers[1].compute_capacity_share(fleet.now) * 8 * PUSH_WINDOW
+    assert len(sent) <= compute_call_limit(budget / (300 * MS))
+
+
 def make_yielding_driver(rare_credit):
     """Returns a driver in which work of a category, learned, is often rejected, and the other one is rare."""
     terms = make_terms((400, 10_000), (400, 10_000), may_probe=False, live_weights=True)
@@ -313,3 +329,44 @@
     driver = make_yielding_driver(rare_credit=1e4)
     assert count_handed_off(driver, 0, seconds=1) == 0
     assert count_handed_off(driver, 10, seconds=8) > 0
+
+
+def measure_own_part(driver):
+    """Returns what the dispatcher may send worker 1, in slow start, in a push window."""
+    return driver.dispatcher._compute_allowance(driver.dispatcher.workers[1]).own_part
+
+
+def make_slow_start_driver():
+    driver = Driver(make_terms((300, 12_000)), 1, (make_entry(1), make_entry(2)))
+    driver.handle_events(after=4000)
+    driver.dispatcher.workers[1].slots = 16
+    starting = make_entry(1, started_at=driver.now)
+    driver.handle_events(
+        interface.LearnedRunTimes(((0, 100 * MS, 100 * MS, 64),)),
+        interface.Listed(interface.ListKind.DELTA, 2, (starting,)),
+    )
+    return driver
+
+
+# Guards against a process that spends all of a budget of which the one that it replaces has just spent part.
+def test_processes_at_one_address_spend_a_part_of_the_budget_until_one_has_been_alone_for_a_window():
+    driver = make_slow_start_driver()
+    alone = measure_own_part(driver)
+    shared = driver.terms._replace(dispatchers=2, shares_address=True)
+    driver.handle_events(interface.TermsChange(shared, (0,)), after=1)
+    assert measure_own_part(driver) <= alone / 4
+    driver.handle_events(interface.TermsChange(driver.terms, (0,)), after=10_000)
+    just_alone = measure_own_part(driver)
+    driver.handle_events(after=3100)
+    assert measure_own_part(driver) > 3 * just_alone
+
+
+# Guards against a window made longer by a reload, of whose first part nothing is recorded.
+def test_a_push_window_that_a_reload_makes_longer_is_not_taken_to_have_been_empty():
+    driver = make_slow_start_driver()
+    before = measure_own_part(driver)
+    longer = driver.terms._replace(push_window=2 * PUSH_WINDOW)
+    driver.handle_events(interface.TermsChange(longer, (0,)), after=1)
+    assert measure_own_part(driver) < before
+    driver.handle_events(after=3100)
+    assert measure_own_part(driver) > before
