Slow start: a worker of unknown size counts as the smallest of its own kind, not of all

Where kinds differ that may be far too many: 60 dispatchers, each sending one request as a member of its subset, together sent a worker of one slot more than it stands, as a worker of another kind had shown 16.

Now only workers of the same kind stand for it; with none, it has one slot. Where the list names no kinds nothing changes.

Test: test_a_small_worker_that_has_shown_nothing_is_not_taken_to_be_large, failed before.

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -323,7 +323,8 @@
         self.start_clock = StartClock()
         # The workers in slow start that this dispatcher may use, and until when that holds.
         self.usable_in_slow_start, self.usable_until = [], 0
-        self.fewest_slots = 0  # that a ready worker has shown; 0 if it has to be looked for again
+        # Worker kind -> the fewest slots that a ready worker of it has shown; filled when it is needed.
+        self.fewest_slots = {}
         self.work_estimate = None  # of this call; None if it was not needed yet
         self.actions = []
         self.T = SECOND  # nanoseconds between two update epochs
@@ -1038,7 +1039,7 @@
                 self._probe_worker(worker)
         self.ready_workers = [worker for worker in self.workers.values() if worker.standing == Standing.READY]
         self._choose_preferred_workers()
-        self.is_full_scan_due, self.usable_until, self.fewest_slots = True, 0, 0
+        self.is_full_scan_due, self.usable_until, self.fewest_slots = True, 0, {}
         if event.kind == ListKind.CACHED:
             if not self.terms.pushed_list:
                 self.actions.append(Subscribe(True))
@@ -1480,10 +1481,14 @@
         return self.usable_in_slow_start
 
     def _estimate_min_slots(self, worker):
-        """Returns the slots that a worker has at least: the most it has shown, else the fewest of others."""
-        if not worker.slots and not self.fewest_slots:
-            self.fewest_slots = min((w.slots for w in self.ready_workers if w.slots), default=1)
-        return worker.slots or self.fewest_slots
+        """Returns the slots that a worker has at least: the most it has shown, else the fewest that others of
+        its kind have."""
+        if worker.slots:
+            return worker.slots
+        if worker.kind not in self.fewest_slots:
+            shown = [w.slots for w in self.ready_workers if w.slots and w.kind == worker.kind]
+            self.fewest_slots[worker.kind] = min(shown, default=1)
+        return self.fewest_slots[worker.kind]
 
     def _estimate_work(self):
         """Returns the WorkEstimate of this call."""
@@ -1627,7 +1632,7 @@
         running_slots = max(0, round(report.held or 0) - worker.reported_waiting)
         shown_slots = worker.reported_free + running_slots if worker.reported_free else 0
         if shown_slots > worker.slots:
-            worker.slots, self.fewest_slots = shown_slots, 0
+            worker.slots, self.fewest_slots = shown_slots, {}
         self.max_slots = max(self.max_slots, worker.slots)
         if worker.slots:
             self.reported_load += (max(0, 1 - worker.reported_free / worker.slots) - self.reported_load) / 32
--- a/tests/test_unlearned.py
+++ b/tests/test_unlearned.py
@@ -280,6 +280,23 @@
     assert 0 < fleet.peak_share <= 1
 
 
+# Guards against workers of unknown size being taken to be as large as those of other kinds.
+def test_a_small_worker_that_has_shown_nothing_is_not_taken_to_be_large():
+    dispatchers, run_ms, sent = 60, 100, 0
+    for number in range(dispatchers):
+        terms = make_terms((300, 12_000), may_probe=False, dispatchers=dispatchers, own_number=number)
+        driver = Driver(terms, number, (make_entry(1, kind=1), make_entry(2)))
+        driver.handle_events(interface.LearnedRunTimes(((0, run_ms * MS, run_ms * MS, 1000),)), after=4000)
+        driver.dispatcher.workers[2].slots = 16
+        starting = make_entry(1, kind=1, started_at=driver.now)
+        driver.handle_events(interface.Listed(interface.ListKind.DELTA, 2, (starting,)), after=1)
+        for wi in range(40):
+            driver.arrive(wi, after=50)
+        sent += sum(driver.list_tried_workers(wi) == [1] for wi in range(40))
+    budget = PUSH_MULTIPLE * (COLD_SHARE + 0.88 * 2 / 24) * 1 * PUSH_WINDOW / (run_ms * MS)
+    assert 0 < sent <= compute_call_limit(budget), sent
+
+
 # Guards against a worker that was sent much as a warm one in the moments before its start was told.
 def test_what_was_sent_before_a_start_was_told_counts():
     jobs = make_burst(2000, jobs=20, run_ms=300.0, lasts_ms=4000) + make_burst(8000, jobs=80, run_ms=300.0)
