Listener: a place is given away only once its client is gone, or within the reserve

A trace of the listener's groups had 334 connections where 28 are allowed, 296 of them waiting for memory.

Cause: Listener._make_room told a client that waits for memory (or stands idle) to go and let the new connection in at once. The first keeps its descriptor until its 503 is read, half a second at most, and each further connection told another one. So nothing bounded the connections but the clients to tell.

Now such places are given away while the connections over the limit and those that are being refused stay within the reserve for refusals; else the new connection is refused (503).

--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -201,6 +201,9 @@
                 self._log_eviction(client)
                 client.writer.transport.abort()
                 return True
+        # The others are told to go, and keep their descriptors until they are gone.
+        if len(self.clients) - self.budget.clients + len(self.refusal_tasks) >= self.budget.refusals:
+            return False
         if self.waiting_clients:
             client = next(iter(self.waiting_clients))
             del self.waiting_clients[client]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -599,6 +599,27 @@
     run_engine(scene, {})
 
 
+# Guards against connections beyond the budget: a client that waits for memory keeps its place for a while
+# after it was told to go, and each new connection told another one.
+def test_no_more_places_are_given_away_than_there_are_for_clients_that_go(run_engine):
+    async def scene(engine, modules):
+        listener = Listener(engine, ResourceBudget(256, 192), engine.counters)
+
+        def add_waiting_client():
+            client = Client(listener, CountingReader(engine.loop), GarbledStream())
+            listener.clients[client] = listener.waiting_clients[client] = None
+
+        for _ in range(listener.budget.clients):
+            add_waiting_client()
+        connections = 100
+        while connections and listener._make_room():
+            add_waiting_client()
+            connections -= 1
+        assert len(listener.clients) == listener.budget.clients + listener.budget.refusals
+
+    run_engine(scene, {})
+
+
 # Guards against a budget that gives out more than the memory holds where the limit is small.
 @pytest.mark.parametrize("workers", [0, 36, 300])
 @pytest.mark.parametrize("sockets", [40, 256, 384, 1024, 65536])
