Listener: in a burst no whole request is reset without an answer

And beyond a few refusals at a time (5 here) a connection was aborted without an answer.

Now a client from which anything has arrived, read or not, is not evicted (the kernel is asked, for the first 16 of a group at most), and a refusal is always an answer: beyond those that linger, what has come within three loop turns, for which the budget has descriptors, is read, then 503 is written and the connection closed, so that the kernel sends it and no reset. Such a client's later bytes meet a closed connection, which tells it that they were not read.

Tests: test_each_request_of_a_burst_gets_an_answer_where_there_is_no_room, 100 whole requests at once beside 0, 20 and 200 others, bodies of 5 and 6000 bytes; failed before. test_order_in_which_clients_are_evicted answers for the kernel now, as its stream has no socket.

--- a/heronwinch/net/listener.py
+++ b/heronwinch/net/listener.py
@@ -1,6 +1,7 @@
 """Accepts the connections of clients, within the limits of sockets and memory."""
 
 import asyncio
+import itertools
 from collections import OrderedDict
 
 import structlog
@@ -16,6 +17,10 @@
 
 MIN_IDLE_SECONDS = 1.0  # a regular client's connection idle for less is not evicted to make room
 FINISH_POLL_SECONDS = 0.001  # interval of checks for requests that are read and not answered
+MAX_EVICTION_CANDIDATES = 16  # clients of a group that are examined for one to evict
+# Event loop turns in which the input of a connection that is refused is read before it is closed. The budget
+# has descriptors for the connections accepted in so many turns.
+REFUSAL_TURNS = 3
 LISTEN_BACKLOG = 512  # established connections that the kernel queues until they are accepted
 
 
@@ -39,7 +44,8 @@
         self.new_clients = OrderedDict()  # clients that have not handed in a job yet
         self.idle_after_one_job = OrderedDict()  # idle clients that have handed in one job
         self.idle_after_more_jobs = OrderedDict()  # idle clients that have handed in several jobs
-        self.refusal_tasks = set()  # tasks that refuse connections for which there is no room
+        self.refusal_tasks = set()  # tasks that refuse connections for which there is no room, and linger
+        self.short_refusal_tasks = set()  # tasks that refuse further ones
         self.is_ready = True  # the answer to readiness requests
         self.keeps_alive = True  # whether connections stay open after an answer
         self.is_closed = False
@@ -173,29 +179,37 @@
             group.pop(client, None)
 
     def _refuse_for_lack_of_room(self, client):
-        """Tells a new client to try again, as all the others are busy; nothing of it has run. A few of these
-        connections at a time linger, as otherwise the answer is lost when they are reset."""
-        if len(self.refusal_tasks) >= self.budget.refusals:
-            client.writer.transport.abort()
-            return
-        client.refuse_for_lack_of_room()
-        task = asyncio.create_task(self._linger_and_close(client))
-        self.refusal_tasks.add(task)
-        task.add_done_callback(self.refusal_tasks.discard)
+        """Tells a new client to try again, as all the others are busy; nothing of it has run."""
+        lingers = len(self.refusal_tasks) < self.budget.refusals
+        task = asyncio.create_task(self._linger_and_close(client) if lingers else self._refuse_soon(client))
+        tasks = self.refusal_tasks if lingers else self.short_refusal_tasks
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
 
     async def _linger_and_close(self, client):
+        client.refuse_for_lack_of_room()
         await client.linger()
         await sockets.close_and_wait(client.writer)
         client.release_memory()
 
+    async def _refuse_soon(self, client):
+        """Refuses a client for which there is no room to linger. What it has sent by now is read, or closing
+        the connection would reset it and the answer would be lost."""
+        for _ in range(REFUSAL_TURNS):
+            await asyncio.sleep(0)
+            if client.reader.unread:
+                await client.reader.read(sockets.READ_AHEAD_BYTES)
+        client.refuse_for_lack_of_room()
+        client.writer.close()
+        client.release_memory()
+
     def _make_room(self):
         """Evicts a client for a new one; returns whether one could be evicted. Clients that have their last
         answer go first, then those that have not handed in a job yet, those that are idle after one job, and
         those that wait for memory. Of the regular clients only one that has been idle for long is evicted: a
         flood of connections must not cost the regular clients theirs."""
         for group in (self.answered_clients, self.new_clients, self.idle_after_one_job):
-            # A client whose request has been read is not evicted, even if its task has not seen it yet.
-            client = next((client for client in group if client.ended or not client.has_unparsed_input), None)
+            client = self._find_evictable(group)
             if client is not None:
                 del group[client]
                 self._log_eviction(client)
@@ -217,6 +231,14 @@
         client.set_read_timeout(0)
         return True
 
+    def _find_evictable(self, group):
+        """Returns a client of a group that may be evicted, None if none of the first ones may be. A request
+        may have arrived from one that has sent anything, even if this process has not read it yet."""
+        for client in itertools.islice(group, MAX_EVICTION_CANDIDATES):
+            if client.ended or not client.has_unread_input():
+                return client
+        return None
+
     def _log_eviction(self, client):
         """Counts a client that is evicted, and logs it unless it has had its last answer."""
         if not client.ended:
@@ -229,7 +251,9 @@
             "clients": len(self.clients),
             "clients_new": len(self.new_clients),
             "clients_idle": len(self.idle_after_one_job) + len(self.idle_after_more_jobs),
-            "clients_ending": len(self.answered_clients) + len(self.refusal_tasks),
+            "clients_ending": len(self.answered_clients)
+            + len(self.refusal_tasks)
+            + len(self.short_refusal_tasks),
             "clients_unread": self.count_unread(),
         }
 
--- a/tests/test_crowded.py
+++ b/tests/test_crowded.py
@@ -1,9 +1,12 @@
-"""Discovery is down: idle clients don't keep a dispatcher from calling it again, no start waits for it."""
+"""Clients beside a crowd, and starts while discovery is down: idle clients don't keep a dispatcher from
+calling discovery, no start waits for it, and in a burst no request is reset without an answer."""
 
 import asyncio
+import socket
 
 import pytest
-from conftest import encode_job
+from conftest import encode_job, split_answer
+from in_process import EXAMPLE_CONFIG
 
 from heronwinch.interface import SECOND
 
@@ -58,3 +61,48 @@
         assert (await s.send_job())[0] == 200
 
     run_simulated(scene, discovery=mode)
+
+
+def write_at_once(address, data):
+    """Returns a blocking socket on which a whole request stands before the program accepts the connection."""
+    sock = socket.create_connection(address, timeout=5)
+    sock.sendall(data)
+    return sock
+
+
+def read_status(sock):
+    """Returns the status of the answer on a connection, or the name of the error that ended it."""
+    try:
+        data = sock.recv(65536)
+        return split_answer(data)[0] if data else "closed"
+    except OSError as error:
+        return type(error).__name__
+    finally:
+        sock.close()
+
+
+# Guards against review case 6: in a burst each new connection evicted the one before it, whose request stood
+# in the kernel, and most of the others were reset.
+@pytest.mark.parametrize("body_bytes, held_jobs", [(5, 0), (5, 20), (5, 200), (6000, 20)])
+def test_each_request_of_a_burst_gets_an_answer_where_there_is_no_room(run_in_process, body_bytes, held_jobs):
+    limits = {**EXAMPLE_CONFIG["limits"], "sockets": 96}
+
+    async def scene(harness):
+        loop = asyncio.get_running_loop()
+        held = [
+            write_at_once(harness.address, harness.encode_job(close=True, deadline="1.5"))
+            for _ in range(held_jobs)
+        ]
+        await asyncio.sleep(0.2)
+        burst = [
+            write_at_once(
+                harness.address, harness.encode_job(close=True, deadline="1.5", body=b"x" * body_bytes)
+            )
+            for _ in range(100)
+        ]
+        statuses = await asyncio.gather(*(loop.run_in_executor(None, read_status, sock) for sock in burst))
+        assert set(statuses) <= {200, 500, 503}
+        for sock in held:
+            sock.close()
+
+    run_in_process(scene, more={"limits": limits}.items())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -581,6 +581,7 @@
         listener = Listener(engine, ResourceBudget(40, 192), engine.counters)
         names = "resting", "once", "stranger", "busy", "answered", "just now"
         clients = {name: Client(listener, CountingReader(engine.loop), GarbledStream()) for name in names}
+        engine.machine.is_quiet = lambda writer: True  # nothing has arrived that is not read
         for name, client in clients.items():
             listener.clients[client] = None
             client.job_count = {"stranger": 0, "once": 1}.get(name, 2)
