Waits: the longest run before the first answer is looked up once a call

With no running time learned and no worker asked, each estimate of a wait walked all workers and their hand-offs: with thousands of workers that is much of a loop turn. Read, not measured. The bound is kept for one call of the module now; decisions are the same (399 tests of the decisions, rehearsal and ledger pass).

--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -129,6 +129,8 @@
         # Worker kind -> the fewest slots that a ready worker of it has shown; filled when it is needed.
         self.fewest_slots = {}
         self.work_estimate = None  # of this call; None if it was not needed yet
+        # The longest time for which a hand-off has been running, of this call; None if it was not needed yet.
+        self.longest_run = None
         self.actions = []
         self.T = SECOND  # nanoseconds between two update epochs
         self.mean_run_time = 0.0  # mean over all categories, in ns
@@ -164,7 +166,7 @@
         """Returns the actions that these events call for, in order."""
         self.now = now
         self.record_began_at = now if self.record_began_at is None else self.record_began_at
-        self.work_estimate = None
+        self.work_estimate = self.longest_run = None
         # Weights that change less often than work items end are out of date when they are used: a worker
         # shown as full would get no hand-off whose answer could correct that.
         self.is_doubting_reports = (
@@ -1149,15 +1151,17 @@
         """
         if self.mean_run_time or not self._should_use_own_record():
             return self.mean_run_time
-        return max(
-            (
-                self.now - ho.sent_at
-                for worker in self.ready_workers
-                for ho in worker.hand_offs_in_flight
-                if ho.is_running
-            ),
-            default=0,
-        )
+        if self.longest_run is None:
+            self.longest_run = max(
+                (
+                    self.now - ho.sent_at
+                    for worker in self.ready_workers
+                    for ho in worker.hand_offs_in_flight
+                    if ho.is_running
+                ),
+                default=0,
+            )
+        return self.longest_run
 
     def _pick_after_alert(self, worker, wi):
         """Returns the worker that was asked for its busy alert if it is open, else another one or None."""
