Slow start: running times carried over a restart do not cap those seen since

With a ledger, what was learned before a restart bounds the running time that is assumed (four times itself). The bound was a cap on the whole estimate, for good: work that has really become longer than that was never taken to be, and a worker in slow start would have been sent too much.

Now it bounds only the one sample that stands for what is not known; what was measured counts up to the expiry, as without a restart. Without carried running times the estimate is the same.

Test: test_what_was_learned_before_a_restart_bounds_no_running_times_that_were_seen_since, failed before (0.4 s where 2 s had been measured 64 times). 267 tests of the decisions pass.

--- a/heronwinch/run_times.py
+++ b/heronwinch/run_times.py
@@ -82,18 +82,18 @@
         """Returns the likely running time of a work item with one slot; `longest` if none has finished.
 
         One standard error of the mean is added, for running times whose deviation equals their mean, and
-        `longest` counts as one more sample. The time of hand-offs that are still out is divided among those
-        that have finished, as in the maximum likelihood estimate from censored samples of an exponential
-        distribution.
+        `longest` counts as one more sample, or less where running times were carried over. The time of
+        hand-offs that are still out is divided among those that have finished, as in the maximum likelihood
+        estimate from censored samples of an exponential distribution.
         """
         if not self.samples:
             return longest
-        if self.carried:
-            longest = min(longest, MAX_CARRIED_GROWTH * self.carried)
         elapsed = self.running * now - self.running_since_sum
         samples = min(self.samples, MAX_RUN_SAMPLES)
         likely = ((self.likely or self.mean) + elapsed / self.samples) * (1 + 1 / sqrt(samples))
-        return likely * (longest / likely) ** (1 / (1 + samples)) if likely < longest else longest
+        likely = min(likely, longest)
+        prior = min(longest, MAX_CARRIED_GROWTH * self.carried) if self.carried else longest
+        return likely * (max(prior, likely) / likely) ** (1 / (1 + samples))
 
 
 class WorkEstimate:
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -72,6 +72,18 @@
     assert 200 * MS <= run_times.estimate(0, EXPIRY) <= 400 * MS
 
 
+# Guards against work that has become longer over a restart and is never taken to be.
+def test_what_was_learned_before_a_restart_bounds_no_running_times_that_were_seen_since():
+    run_times = RunTimes()
+    run_times.restore(100 * MS, 100 * MS, 8)
+    for _ in range(64):
+        run_times.learn(2 * SECOND, has_finished=True, was_in_slow_start=False)
+    assert 2 * SECOND <= run_times.estimate(0, EXPIRY) <= 2.5 * SECOND
+    for _ in range(64):
+        run_times.learn(2 * EXPIRY, has_finished=True, was_in_slow_start=False)
+    assert run_times.estimate(0, EXPIRY) == EXPIRY
+
+
 @pytest.mark.parametrize("unknown_run_time", [MS, SECOND, EXPIRY])
 @pytest.mark.parametrize("arrivals", [(99, 0), (50, 50), (0, 99)])
 def test_requests_are_not_counted_as_less_than_they_can_be(unknown_run_time, arrivals):
