--- a/heronwinch/policy.py
+++ b/heronwinch/policy.py
@@ -660,7 +660,7 @@
             run_times = self.category_states[number].run_times
             if not run_times.samples:
                 run_times.restore(mean, likely, samples)
-                self.mean_run_time = update_moving_mean(self.mean_run_time, mean, 16)
+                self.mean_run_time = update_moving_mean(self.mean_run_time, mean, MEAN_SAMPLES)
 
     def get_learned_run_times(self):
         """Returns (mean, mean with unfinished hand-offs, samples) by category, for LearnedRunTimes."""
@@ -1326,7 +1326,7 @@
             slow_start=sum(map(self._is_cold, self.ready_workers)),
             closed=sum(worker.closed_until > self.now for worker in self.ready_workers),
             queued=len(self.queue),
-            in_flight=sum(wi.in_flight for wi in self.work_items.values()),
+            in_flight=self.hand_offs_in_flight,
             is_doubting_reports=self.is_doubting_reports,
             mean_run_time=int(self.mean_run_time),
             epoch=self.T,
--- a/tests/test_run_times.py
+++ b/tests/test_run_times.py
@@ -1,25 +1,22 @@
 """Tests of run_times: what is taken of running times of which nothing, or little, is learned."""
 
 import pytest
+from conftest import CATEGORY, MS
 
 from heronwinch.interface import SECOND
+from heronwinch.policy_state import CategoryState
 from heronwinch.run_times import RunTimes, WorkEstimate
 
-MS = 1_000_000
 EXPIRY = 10 * SECOND
 
 
-class Category:
-    """A category with an expiry of EXPIRY, as far as a WorkEstimate needs one."""
-
-    def __init__(self, arrivals, run_time=0):
-        self.run_times = RunTimes()
-        self.run_times.arrivals = arrivals
-        if run_time:
-            self.run_times.restore(run_time, run_time, 1000)
-
-    def estimate_run_time(self, now):
-        return self.run_times.estimate(now, EXPIRY)
+def make_category(arrivals, run_time=0):
+    """Returns the state of a category that clients wait EXPIRY for, learned if it has a running time."""
+    category = CategoryState(CATEGORY._replace(expiry=EXPIRY))
+    category.run_times.arrivals = arrivals
+    if run_time:
+        category.run_times.restore(run_time, run_time, 1000)
+    return category
 
 
 def test_nothing_learned_is_taken_to_run_as_long_as_clients_wait():
@@ -87,7 +84,7 @@
 @pytest.mark.parametrize("unknown_run_time", [MS, SECOND, EXPIRY])
 @pytest.mark.parametrize("arrivals", [(99, 0), (50, 50), (0, 99)])
 def test_requests_are_not_counted_as_less_than_they_can_be(unknown_run_time, arrivals):
-    known, unknown = Category(arrivals[0], 200 * MS), Category(arrivals[1])
+    known, unknown = make_category(arrivals[0], 200 * MS), make_category(arrivals[1])
     estimate = WorkEstimate([known, unknown], 0)
     shares = [(count + 1) / (sum(arrivals) + 2) for count in arrivals]
     true_mean = shares[0] * 200 * MS + shares[1] * unknown_run_time
@@ -97,6 +94,6 @@
 
 
 def test_requests_of_the_only_category_are_of_mean_work():
-    category = Category(5)
+    category = make_category(5)
     assert WorkEstimate([category], 0).count_requests(category, 2.0, work_items=2) == 2.0
     assert WorkEstimate([category], 0).longest_mean == EXPIRY
--- a/tests/test_unlearned.py
+++ b/tests/test_unlearned.py
@@ -71,8 +71,8 @@
 class Fleet:
     """Dispatchers and workers in virtual time. Work of jobs is that of the traffic, `jobs`."""
 
-    def __init__(self, terms, jobs, slots=(4, 4, 4), dispatchers=1, has_answer=lambda job: Outcome.OK):
-        self.jobs, self.has_answer = sorted(jobs), has_answer
+    def __init__(self, terms, jobs, slots=(4, 4, 4), dispatchers=1, outcome=Outcome.OK):
+        self.jobs, self.outcome = sorted(jobs), outcome  # how each hand-off ends
         self.mean_work = sum(job.run_ms for job in jobs) * MS / len(jobs)
         self.workers = {number: FleetWorker(number, count) for number, count in enumerate(slots, 1)}
         entries = tuple(make_entry(number) for number in self.workers)
@@ -107,10 +107,8 @@
                 self._carry_out(index)
             while self.ends and self.ends[0][0] <= self.now:
                 _, _, index, event = heapq.heappop(self.ends)
-                if type(event) is interface.Answered:
-                    self.held[event.worker] -= event.outcome != Outcome.ERROR
-                    event = event._replace(report=self._report(event.worker))
-                self.drivers[index].handle_events(event)
+                self.held[event.worker] -= event.outcome != Outcome.ERROR
+                self.drivers[index].handle_events(event._replace(report=self._report(event.worker)))
                 self._carry_out(index)
             while self.jobs and self.jobs[0].at_ms * MS <= self.now - self.began_at:
                 self._hand_in(self.jobs.pop(0))
@@ -140,7 +138,7 @@
     def _take(self, index, action):
         job = self.job_by_wi[action.wi]
         number = len(self.drivers[index].list_tried_workers(action.wi)) - 1
-        worker, outcome = self.workers[action.worker], self.has_answer(job)
+        worker, outcome = self.workers[action.worker], self.outcome
         ends_at = worker.take(self.now, job.run_ms * MS, self.mean_work)
         if outcome == Outcome.ERROR:
             ends_at = self.now + 5 * MS
@@ -241,9 +239,8 @@
 
 # Guards against errors that come at once being taken for the running time.
 def test_quick_errors_tell_nothing_of_the_running_time():
-    outcomes = {0: Outcome.ERROR, 1: Outcome.OK}
-    jobs = [job._replace(category=0) for job in make_burst(3000, jobs=150, lasts_ms=3000)]
-    fleet = Fleet(make_terms((300, 12_000)), jobs, has_answer=lambda job: outcomes[job.category])
+    jobs = make_burst(3000, jobs=150, lasts_ms=3000)
+    fleet = Fleet(make_terms((300, 12_000)), jobs, outcome=Outcome.ERROR)
     fleet.run(2900)
     fleet.start_anew(1)
     fleet.run(8000)
